--- a/include/lagoonspoke/config/Configuration.h
+++ b/include/lagoonspoke/config/Configuration.h
@@ -43,6 +43,8 @@
 
 struct TeamSpec {
     TeamId name;
+    // Replaces the tier of the class for this team's requests.
+    std::optional<Tier> tier = {};
     // Share of a tier's capacity relative to other teams.
     double weight = 1;
     TeamLimits limits;
@@ -60,8 +62,19 @@
     // Bounds over all data centres.
     int minServers = 0;
     int maxServers = 0;
+    // Bounds in each data centre, for a platform that takes orders data centre by data centre; 0 means unbounded.
+    int minServersPerDataCentre = 0;
+    int maxServersPerDataCentre = 0;
     // Whether evictable servers may be ordered.
     bool allowCheap = true;
+    // Price of an evictable server as a part of that of another one.
+    double cheapPrice = 0.3;
+    // Price of a server by data centre, relative to the others; 1 where none is given.
+    std::map<DataCentreId, double> dataCentrePrices = {};
+    // Time from an order until the server serves.
+    Duration startTime = std::chrono::minutes(3);
+    // Tokens of running requests and cached prefixes that one backend server holds; 0 when unknown.
+    Tokens memoryPerServer = {};
     Tokens contextLimit { 32768 };
 };
 
@@ -70,10 +83,26 @@
     int slotsPerServer = 32;
 };
 
+// Part of a route's requests that one target serves.
+struct TargetShare {
+    TargetName target;
+    double weight = 1;
+};
+
 struct RouteSpec {
     std::string pathPrefix;
+    // Host that the route is for; empty for every host.
+    std::string host = {};
     TargetName service;
+    // Splits the requests among targets in place of the service.
+    std::vector<TargetShare> split = {};
     ClassName className;
+    // Whether the target is a model, whose answers are streams of numbered events.
+    bool streamed = false;
+    // Whether a stream that broke may go on at another backend server.
+    bool resumable = false;
+    // Backend servers that one request may be sent to.
+    int maxAttempts = 3;
     // Open to callers without a key.
     bool open = false;
     // Methods whose requests may be repeated on this route.
@@ -90,6 +119,8 @@
     std::optional<Duration> connectTimeout;
     std::optional<Duration> firstByteTimeout;
     std::optional<Duration> tokenGapTimeout;
+    std::optional<std::int64_t> maxHeaderBytes = {};
+    std::optional<std::int64_t> maxBodyBytes = {};
 };
 
 // Whole configuration at one accepted ticket number. Immutable once built; shared between threads.
--- a/include/lagoonspoke/dispatch/Messages.h
+++ b/include/lagoonspoke/dispatch/Messages.h
@@ -23,6 +23,8 @@
     Tokens promptTokens; // estimate
     Tokens outputLimit; // the caller's limit; 0 when it gave none
     std::vector<PrefixBlock> prefix;
+    // Tokens of each part of the prefix; empty when all blocks are of one size.
+    std::vector<Tokens> prefixTokens = {};
     bool idempotent = true;
     Fingerprint fingerprint {};
     Duration remaining {}; // until the request's deadline
@@ -37,6 +39,7 @@
     ServerFailed, // the server answered with an error or timed out
     ServerDied, // the connection broke while the request ran
     Aborted, // stopped by the entry: withdrawn key, deadline
+    Declined, // the server said that it did not run the request: it is full or leaving
 };
 
 // What the entry observed of a granted request since its last report.
--- a/src/config/ConfigurationSnapshot.cpp
+++ b/src/config/ConfigurationSnapshot.cpp
@@ -57,11 +57,12 @@
     return findIn(m_configuration.deployments, name);
 }
 
-const RouteSpec* ConfigurationSnapshot::findRoute(std::string_view path) const
+const RouteSpec* ConfigurationSnapshot::findRoute(std::string_view path, std::string_view host) const
 {
     const RouteSpec* best = nullptr;
     for (const auto& [name, route] : m_configuration.routes) {
-        if (isPathPrefix(route.pathPrefix, path) && (!best || route.pathPrefix.size() > best->pathPrefix.size())) {
+        bool fits = route.host.empty() || route.host == host;
+        if (fits && isPathPrefix(route.pathPrefix, path) && (!best || route.pathPrefix.size() > best->pathPrefix.size())) {
             best = &route;
         }
     }
--- /dev/null
+++ b/src/config/DocumentFollower.cpp
@@ -0,0 +1,104 @@
+#include "config/DocumentFollower.h"
+
+#include <algorithm>
+
+#include "lagoonspoke/core/Overload.h"
+
+namespace lagoonspoke {
+
+DocumentFollower::DocumentFollower(Options options, DecodeDocument decode)
+    : m_options(options)
+    , m_decode(std::move(decode))
+    , m_random(options.seed)
+{
+}
+
+std::vector<DocumentAction> DocumentFollower::handle(const DocumentEvent& event, MonotonicTime now)
+{
+    std::visit(Overload {
+                   [&](const DocumentRead& it) { take(it.text, now); },
+                   [&](const DocumentStoreReachable& it) { m_reachable = it.reachable; },
+                   [&](const DocumentPeersChanged& it) { m_peers = it.peers; },
+                   [&](const DocumentNumberHeard& it) { hearNumber(it, now); },
+                   [&](const DocumentWanted& it) {
+                       if (m_number > 0) {
+                           m_actions.emplace_back(SendDocument { it.from, m_text });
+                       }
+                   },
+                   [&](const DocumentReceived& it) { take(it.text, now); },
+               },
+        event);
+    return advance(now);
+}
+
+std::vector<DocumentAction> DocumentFollower::advance(MonotonicTime now)
+{
+    if (m_newer && m_newer->askAt <= now) {
+        m_actions.emplace_back(AskForDocument { m_newer->peer });
+        m_newer->askAt = now + m_options.askInterval;
+    }
+    if (isAlone() && now >= m_nextAsk && !m_peers.empty()) {
+        m_nextAsk = now + m_options.askInterval;
+        m_actions.emplace_back(TellNumber { pickPeers(m_options.askedPeers), m_number, true });
+    }
+    return std::exchange(m_actions, {});
+}
+
+std::optional<MonotonicTime> DocumentFollower::nextWakeup() const
+{
+    std::optional<MonotonicTime> next;
+    if (m_newer) {
+        next = m_newer->askAt;
+    }
+    if (isAlone() && !m_peers.empty()) {
+        next = std::min(next.value_or(m_nextAsk), m_nextAsk);
+    }
+    return next;
+}
+
+void DocumentFollower::take(const std::string& text, MonotonicTime now)
+{
+    if (text == m_text || text == m_refused) {
+        return;
+    }
+    auto configuration = m_decode(text);
+    if (!configuration) {
+        m_refused = text;
+        m_actions.emplace_back(ReportInvalidDocument { configuration.error() });
+        return;
+    }
+    if (configuration->number <= m_number) {
+        return;
+    }
+    m_number = configuration->number;
+    m_text = text;
+    m_actions.emplace_back(ApplyDocument { ConfigurationSnapshot::Make(std::move(*configuration)) });
+    if (m_newer && m_newer->number <= m_number) {
+        m_newer.reset();
+    }
+    m_nextAsk = now + m_options.askInterval;
+    if (auto peers = pickPeers(m_options.fanOut); !peers.empty()) {
+        m_actions.emplace_back(TellNumber { std::move(peers), m_number, false });
+    }
+}
+
+void DocumentFollower::hearNumber(const DocumentNumberHeard& heard, MonotonicTime now)
+{
+    if (heard.number > m_number) {
+        if (!m_newer || m_newer->number < heard.number) {
+            auto headStart = m_reachable ? m_options.storeHeadStart : Duration(0);
+            m_newer = Newer { heard.from, heard.number, now + headStart };
+        }
+    } else if (heard.replyWanted && heard.number < m_number) {
+        m_actions.emplace_back(TellNumber { { heard.from }, m_number, false });
+    }
+}
+
+std::vector<InstanceId> DocumentFollower::pickPeers(std::size_t count)
+{
+    std::vector<InstanceId> picked;
+    std::ranges::sample(m_peers, std::back_inserter(picked), static_cast<std::ptrdiff_t>(count), m_random);
+    return picked;
+}
+
+} // namespace lagoonspoke
--- /dev/null
+++ b/src/config/DocumentFollower.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "lagoonspoke/config/ConfigurationSnapshot.h"
+#include "lagoonspoke/core/Error.h"
+#include "lagoonspoke/core/Time.h"
+
+namespace lagoonspoke {
+
+// Reads a configuration from an installation's document; on failure gives every mistake.
+using DecodeDocument = std::function<tl::expected<Configuration, std::vector<Error>>(std::string_view text)>;
+
+// The document as the store has it.
+struct DocumentRead {
+    std::string text;
+};
+struct DocumentStoreReachable {
+    bool reachable = true;
+};
+// The peers that can be reached, without this instance.
+struct DocumentPeersChanged {
+    std::vector<InstanceId> peers;
+};
+// The number that a peer has in force; 0 without a configuration.
+struct DocumentNumberHeard {
+    InstanceId from;
+    std::uint64_t number = 0;
+    bool replyWanted = false;
+};
+struct DocumentWanted {
+    InstanceId from;
+};
+// A peer's document.
+struct DocumentReceived {
+    InstanceId from;
+    std::string text;
+};
+
+using DocumentEvent = std::variant<DocumentRead, DocumentStoreReachable, DocumentPeersChanged, DocumentNumberHeard,
+    DocumentWanted, DocumentReceived>;
+
+struct ApplyDocument {
+    SnapshotPtr snapshot;
+};
+struct TellNumber {
+    std::vector<InstanceId> peers;
+    std::uint64_t number = 0;
+    bool replyWanted = false;
+};
+struct AskForDocument {
+    InstanceId peer;
+};
+struct SendDocument {
+    InstanceId peer;
+    std::string text;
+};
+// A document that cannot take effect; the configuration in force stays.
+struct ReportInvalidDocument {
+    std::vector<Error> errors;
+};
+
+using DocumentAction = std::variant<ApplyDocument, TellNumber, AskForDocument, SendDocument, ReportInvalidDocument>;
+
+// Decides which configuration document is in force: the one with the highest number that the store or a peer gave.
+// A number never goes back. Pure; owned by DocumentService.
+class DocumentFollower {
+public:
+    struct Options {
+        std::uint64_t seed = 0;
+        // Peers that are told of a new number, and that are asked while the store is away.
+        std::size_t fanOut = 8;
+        std::size_t askedPeers = 3;
+        Duration askInterval = std::chrono::milliseconds(400);
+        // The store tells most instances by itself within this time; only then a peer is asked.
+        Duration storeHeadStart = std::chrono::milliseconds(150);
+    };
+
+    DocumentFollower(Options, DecodeDocument);
+
+    std::vector<DocumentAction> handle(const DocumentEvent&, MonotonicTime now);
+    std::vector<DocumentAction> advance(MonotonicTime now);
+    std::optional<MonotonicTime> nextWakeup() const;
+
+    std::uint64_t number() const { return m_number; }
+
+private:
+    struct Newer {
+        InstanceId peer;
+        std::uint64_t number = 0;
+        MonotonicTime askAt;
+    };
+
+    void take(const std::string& text, MonotonicTime now);
+    void hearNumber(const DocumentNumberHeard&, MonotonicTime now);
+    std::vector<InstanceId> pickPeers(std::size_t count);
+    bool isAlone() const { return !m_reachable || m_number == 0; }
+
+    Options m_options;
+    DecodeDocument m_decode;
+    std::mt19937_64 m_random;
+    std::vector<DocumentAction> m_actions;
+    std::vector<InstanceId> m_peers;
+    std::uint64_t m_number = 0;
+    std::string m_text;
+    std::string m_refused; // the last document that could not take effect
+    bool m_reachable = false;
+    std::optional<Newer> m_newer; // a number above ours that a peer has
+    MonotonicTime m_nextAsk {};
+};
+
+} // namespace lagoonspoke
--- a/src/config/TicketSubmission.h
+++ b/src/config/TicketSubmission.h
@@ -77,7 +77,7 @@
 // Whoever replaces the ticket object of another operator first rewrites the head unchanged, so that the head update
 // of that operator can no longer succeed.
 //
-// Pure: owned by the coroutine that runs it (src/platform/TicketSubmitter.h).
+// Pure: owned by the coroutine that runs it (src/external/TicketSubmitter.h).
 class TicketSubmission {
 public:
     struct Options {
--- a/src/daemon/ConfigurationService.cpp
+++ b/src/daemon/ConfigurationService.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 struct ConfigurationService::State : std::enable_shared_from_this<State> {
-    State(asio::io_context& context, const DaemonSettings& settings, ObjectStoreClient client,
+    State(asio::io_context& context, const DaemonSettings& settings, WatchableObjectStorePtr client,
         ConfigurationPeers configurationPeers, Callbacks serviceCallbacks)
         : io(context)
         , timer(context)
@@ -153,7 +153,7 @@
 
     static asio::awaitable<void> readHead(std::shared_ptr<State> self)
     {
-        auto object = co_await self->store.get(std::string(headKey));
+        auto object = co_await self->store->get(std::string(headKey));
         if (object) {
             self->dispatch(HeadRead { StoredValue { std::move(object->value), object->version } });
         } else if (object.error().code == ErrorCode::NotFound) {
@@ -165,7 +165,7 @@
 
     static asio::awaitable<void> watchHead(std::shared_ptr<State> self, StartWatch watch)
     {
-        auto object = co_await self->store.watch(std::string(headKey), watch.after, watch.wait);
+        auto object = co_await self->store->watch(std::string(headKey), watch.after, watch.wait);
         if (!object) {
             self->dispatch(StoreCallFailed { StoreCall::Watch });
             co_return;
@@ -179,7 +179,7 @@
 
     static asio::awaitable<void> readBlob(std::shared_ptr<State> self, ContentDigest digest)
     {
-        auto object = co_await self->store.get(blobKey(digest));
+        auto object = co_await self->store->get(blobKey(digest));
         if (object) {
             self->dispatch(BlobReceived { std::nullopt, digest, std::move(object->value) });
         } else if (object.error().code == ErrorCode::NotFound) {
@@ -191,7 +191,7 @@
 
     asio::io_context& io;
     asio::steady_timer timer;
-    ObjectStoreClient store;
+    WatchableObjectStorePtr store;
     ConfigurationPeers peers;
     Callbacks callbacks;
     InstanceId instance;
@@ -202,7 +202,7 @@
 };
 
 ConfigurationService::ConfigurationService(asio::io_context& io, const DaemonSettings& settings,
-    ObjectStoreClient store, ConfigurationPeers peers, Callbacks callbacks)
+    WatchableObjectStorePtr store, ConfigurationPeers peers, Callbacks callbacks)
     : m_state(std::make_shared<State>(io, settings, std::move(store), std::move(peers), std::move(callbacks)))
 {
 }
--- a/src/daemon/ConfigurationService.h
+++ b/src/daemon/ConfigurationService.h
@@ -5,7 +5,7 @@
 
 #include "daemon/PeerService.h"
 #include "lagoonspoke/config/ConfigurationSnapshot.h"
-#include "platform/ObjectStoreClient.h"
+#include "external/ObjectStore.h"
 
 namespace lagoonspoke {
 
@@ -40,7 +40,7 @@
     // The name of the rumour that carries the head in force.
     static constexpr std::string_view rumourKey = "config/head";
 
-    ConfigurationService(asio::io_context&, const DaemonSettings&, ObjectStoreClient, ConfigurationPeers, Callbacks);
+    ConfigurationService(asio::io_context&, const DaemonSettings&, WatchableObjectStorePtr, ConfigurationPeers, Callbacks);
     ~ConfigurationService();
 
     void start();
--- a/src/daemon/ConfigurationServiceTest.cpp
+++ b/src/daemon/ConfigurationServiceTest.cpp
@@ -5,8 +5,8 @@
 
 #include <fmt/format.h>
 
-#include "platform/StoreHarnessTest.h"
-#include "platform/TicketSubmitter.h"
+#include "external/StoreHarnessTest.h"
+#include "external/TicketSubmitter.h"
 
 namespace lagoonspoke {
 
@@ -41,7 +41,7 @@
             = [&instance](const SnapshotPtr& snapshot) { instance.applied.push_back(snapshot->number()); };
         callbacks.setKeyedAdmission = [&instance](bool allowed) { instance.admission = allowed; };
         instance.service = std::make_unique<ConfigurationService>(
-            store.io(), settings, store.client(), std::move(peers), std::move(callbacks));
+            store.io(), settings, std::make_shared<ObjectStoreClient>(store.client()), std::move(peers), std::move(callbacks));
         m_members.push_back({ settings.instance, settings.dataCentre, RegionId("r"), "" });
         for (auto& [id, it] : m_instances) {
             it.service->handleMembers(m_members);
--- a/src/daemon/ControlServicesTest.cpp
+++ b/src/daemon/ControlServicesTest.cpp
@@ -6,6 +6,8 @@
 #include "daemon/UsageService.h"
 #include "lagoonspoke/core/Text.h"
 #include "settings/JsonReader.h"
+#include "external/ObjectStoreClient.h"
+#include "external/UsageClient.h"
 #include "standins/StoreStandin.h"
 #include "standins/UsageStandin.h"
 
@@ -33,11 +35,11 @@
 
 // One instance's lease and usage services.
 struct Instance {
-    Instance(asio::io_context& io, const ObjectStoreClient& store, const tcp::endpoint& usageInterface,
+    Instance(asio::io_context& io, const ObjectStorePtr& store, const tcp::endpoint& usageInterface,
         const std::string& name, UsageService::SendToPeer send)
         : leases(io, store, InstanceId(name), name + "~1")
         , usage(io, { InstanceId(name), InstanceId(name + "~1"), DataCentreId(name), RegionId("r"), 300ms }, store,
-              UsageClient(usageInterface, name + "~1", callBound), std::move(send),
+              std::make_shared<UsageClient>(usageInterface, name + "~1", callBound), std::move(send),
               [this] { return leases.mayAct(LeaseService::usageLease()); })
     {
         leases.setChanged([this](const std::string& lease, std::optional<FencingToken> token) {
@@ -56,7 +58,7 @@
     Installation()
         : m_store(m_io)
         , m_usage(m_io)
-        , m_client(m_store.server->endpoint(), callBound)
+        , m_client(std::make_shared<ObjectStoreClient>(m_store.server->endpoint(), callBound))
     {
         for (const auto* name : { "a", "b", "c" }) {
             add(name);
@@ -135,7 +137,7 @@
     asio::io_context m_io { 1 };
     Served<StoreStandin> m_store;
     Served<UsageStandin> m_usage;
-    ObjectStoreClient m_client;
+    ObjectStorePtr m_client;
     std::vector<Member> m_members;
     std::map<std::string, std::unique_ptr<Instance>> m_instances;
 };
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -9,9 +9,9 @@
 
 namespace lagoonspoke {
 
-Outcome<std::unique_ptr<Daemon>> Daemon::Make(DaemonSettings settings)
+Outcome<std::unique_ptr<Daemon>> Daemon::Make(DaemonSettings settings, ExternalInterfaces interfaces)
 {
-    std::unique_ptr<Daemon> daemon(new Daemon(std::move(settings)));
+    std::unique_ptr<Daemon> daemon(new Daemon(std::move(settings), std::move(interfaces)));
     if (auto opened = daemon->open(); !opened) {
         return tl::make_unexpected(opened.error());
     }
@@ -27,8 +27,9 @@
 
 } // namespace
 
-Daemon::Daemon(DaemonSettings settings)
+Daemon::Daemon(DaemonSettings settings, ExternalInterfaces interfaces)
     : m_settings(std::move(settings))
+    , m_interfaces(std::move(interfaces))
     , m_io(1)
     , m_metrics(m_registry)
     , m_configurationNumber(makeGauge(
@@ -43,7 +44,7 @@
 
 Outcome<void> Daemon::open()
 {
-    auto peers = PeerService::Make(m_io, m_settings);
+    auto peers = PeerService::Make(m_io, m_settings, m_interfaces.directory);
     if (!peers) {
         return tl::make_unexpected(peers.error());
     }
@@ -59,9 +60,7 @@
     if (auto opened = openTraffic(); !opened) {
         return opened;
     }
-    if (auto opened = openPlatform(); !opened) {
-        return opened;
-    }
+    openStore();
     auto admin = parseEndpoint(m_settings.adminAddress);
     if (!admin) {
         return tl::make_unexpected(admin.error());
@@ -81,12 +80,15 @@
     if (!callers) {
         return tl::make_unexpected(callers.error());
     }
-    for (int i = 0; i < m_settings.trafficThreads; ++i) {
-        auto thread = TrafficThread::Make(i, m_settings, *callers, m_metrics, [this](int index, EntryMessage message) {
+    auto* shared = m_settings.trafficThreads == 0 ? &m_io : nullptr;
+    for (int i = 0; i < std::max(1, m_settings.trafficThreads); ++i) {
+        auto send = [this](int index, EntryMessage message) {
             asio::post(m_io, [this, index, message = std::move(message)]() mutable {
                 m_control->handleEntryMessage(index, std::move(message));
             });
-        });
+        };
+        auto thread = TrafficThread::Make(
+            i, m_settings, *callers, *m_interfaces.dialect, m_metrics, std::move(send), shared);
         if (!thread) {
             return tl::make_unexpected(thread.error());
         }
@@ -97,25 +99,21 @@
     return {};
 }
 
-Outcome<void> Daemon::openPlatform()
+void Daemon::openStore()
 {
-    if (m_settings.storeAddress.empty()) {
-        return {};
+    if (!m_interfaces.store) {
+        return;
     }
-    PlatformServices::Callbacks callbacks;
+    StoreServices::Callbacks callbacks;
     callbacks.applySnapshot = [this](SnapshotPtr snapshot) { applySnapshot(std::move(snapshot)); };
     callbacks.setKeyedAdmission = [this](bool allowed) { setKeyedAdmission(allowed); };
     callbacks.ownLoads = [this] { return m_control->ownLoads(); };
-    auto platform = PlatformServices::Make(m_io, m_settings, *m_peers, std::move(callbacks));
-    if (!platform) {
-        return tl::make_unexpected(platform.error());
-    }
-    m_platform = std::move(*platform);
+    m_storeServices
+        = std::make_unique<StoreServices>(m_io, m_settings, m_interfaces, *m_peers, std::move(callbacks));
     setKeyedAdmission(false);
     for (auto& thread : m_traffic) {
-        thread->setUsageSink(m_platform->usageSink());
+        thread->setUsageSink(m_storeServices->usageSink());
     }
-    return {};
 }
 
 void Daemon::setKeyedAdmission(bool allowed)
@@ -130,20 +128,20 @@
 {
     m_peers->setMembersChanged([this] {
         m_control->handleMembers(m_peers->members());
-        if (m_platform) {
-            m_platform->handleMembers();
+        if (m_storeServices) {
+            m_storeServices->handleMembers();
         }
     });
     m_peers->setRumourReceiver([this](const Rumour& rumour) {
         m_control->handleRumour(rumour);
-        if (m_platform) {
-            m_platform->handleRumour(rumour);
+        if (m_storeServices) {
+            m_storeServices->handleRumour(rumour);
         }
     });
     m_peers->setServersChanged([this](std::vector<BackendServer> servers) {
         m_backendServers.Set(static_cast<double>(servers.size()));
-        if (m_platform) {
-            m_platform->handleServers(servers);
+        if (m_storeServices) {
+            m_storeServices->handleServers(servers);
         }
         m_control->applyServers(std::move(servers));
     });
@@ -180,9 +178,9 @@
             m_engines->stop();
             co_return;
         });
-    if (m_platform) {
+    if (m_storeServices) {
         add(
-            "platform", [this] { m_platform->start(); }, [this] { return m_platform->stop(); });
+            "store services", [this] { m_storeServices->start(); }, [this] { return m_storeServices->stop(); });
     }
     add(
         "traffic",
@@ -213,7 +211,7 @@
 bool Daemon::isReady() const
 {
     return m_configured && m_keyedAdmission && !m_leaving
-        && (m_settings.instanceListAddress.empty() || m_peers->knowsInstances());
+        && (!m_interfaces.directory || m_peers->knowsServers());
 }
 
 asio::awaitable<void> Daemon::handleAdmin(HttpExchange& exchange)
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -9,8 +9,9 @@
 #include "config/StaticFile.h"
 #include "daemon/ControlLoop.h"
 #include "daemon/EngineMonitor.h"
+#include "daemon/ExternalInterfaces.h"
 #include "daemon/PeerService.h"
-#include "daemon/PlatformServices.h"
+#include "daemon/StoreServices.h"
 #include "daemon/Supervisor.h"
 #include "daemon/TrafficThread.h"
 #include "http/HttpServer.h"
@@ -21,7 +22,7 @@
 // The whole process: control thread, traffic threads and admin listener. Owned by main.
 class Daemon {
 public:
-    static Outcome<std::unique_ptr<Daemon>> Make(DaemonSettings);
+    static Outcome<std::unique_ptr<Daemon>> Make(DaemonSettings, ExternalInterfaces);
     ~Daemon();
 
     // Applies a fixed configuration, for an instance without a platform.
@@ -30,11 +31,11 @@
     void run();
 
 private:
-    explicit Daemon(DaemonSettings);
+    Daemon(DaemonSettings, ExternalInterfaces);
 
     Outcome<void> open();
     Outcome<void> openTraffic();
-    Outcome<void> openPlatform();
+    void openStore();
     // Hands the events of PeerService to the services that want them.
     void connectPeers();
     void setKeyedAdmission(bool allowed);
@@ -48,6 +49,7 @@
     asio::awaitable<void> shutDown();
 
     DaemonSettings m_settings;
+    ExternalInterfaces m_interfaces;
     asio::io_context m_io;
     prometheus::Registry m_registry;
     RequestMetrics m_metrics;
@@ -55,7 +57,7 @@
     prometheus::Gauge& m_backendServers;
     std::unique_ptr<PeerService> m_peers;
     std::unique_ptr<ControlLoop> m_control;
-    std::unique_ptr<PlatformServices> m_platform; // null with a static configuration
+    std::unique_ptr<StoreServices> m_storeServices; // null with a static configuration
     std::unique_ptr<EngineMonitor> m_engines;
     std::vector<std::unique_ptr<TrafficThread>> m_traffic;
     std::unique_ptr<HttpServer> m_admin;
--- a/src/daemon/DaemonMain.cpp
+++ b/src/daemon/DaemonMain.cpp
@@ -1,7 +1,5 @@
 #include <cstdio>
-#include <fstream>
 #include <optional>
-#include <sstream>
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -11,6 +9,7 @@
 #include "core/CommandLine.h"
 #include "daemon/Daemon.h"
 #include "settings/JsonReader.h"
+#include "settings/SettingsFile.h"
 
 ABSL_FLAG(std::string, config, "", "Settings file (JSON). The daemon serves until SIGTERM.");
 ABSL_FLAG(std::string, check_config, "", "Settings file (JSON) to check without starting; exit code 2 on a mistake.");
@@ -22,24 +21,13 @@
 constexpr int exitUsage = 2;
 constexpr int exitFailure = 1;
 
-std::optional<std::string> readFile(const std::string& path)
-{
-    std::ifstream in(path);
-    if (!in) {
-        fmt::print(stderr, "{}: cannot be read\n", path);
-        return std::nullopt;
-    }
-    std::ostringstream text;
-    text << in.rdbuf();
-    return text.str();
-}
-
 // Reads and parses a file; prints every mistake and gives nothing on failure.
 template <typename Parse>
 auto load(const std::string& path, Parse parse) -> std::optional<typename decltype(parse(""))::value_type>
 {
     auto text = readFile(path);
     if (!text) {
+        fmt::print(stderr, "{}\n", text.error().message);
         return std::nullopt;
     }
     auto parsed = parse(*text);
@@ -66,7 +54,12 @@
     if (checkOnly) {
         return 0;
     }
-    auto daemon = Daemon::Make(*settings);
+    auto interfaces = makeOwnInterfaces(*settings);
+    if (!interfaces) {
+        fmt::print(stderr, "{}\n", interfaces.error().message);
+        return exitUsage;
+    }
+    auto daemon = Daemon::Make(*settings, std::move(*interfaces));
     if (!daemon) {
         fmt::print(stderr, "{}\n", daemon.error().message);
         return exitFailure;
--- a/src/daemon/DemandService.h
+++ b/src/daemon/DemandService.h
@@ -12,7 +12,7 @@
 
 // Collects the load of every deployment for the planning of backend servers: an instance that holds a fleet lease asks
 // the owners of its region's domains each second. Only holders ask, so that idle instances cost nothing.
-// Owned by PlatformServices; used on the control thread only.
+// Owned by StoreServices; used on the control thread only.
 class DemandService {
 public:
     struct Callbacks {
--- /dev/null
+++ b/src/daemon/DocumentService.cpp
@@ -0,0 +1,183 @@
+#include "daemon/DocumentService.h"
+
+#include "external/CollectionWatcher.h"
+#include "lagoonspoke/core/Digest.h"
+#include "lagoonspoke/core/Overload.h"
+#include "observe/LogLine.h"
+#include "wire/ConfigurationCodec.h"
+
+namespace lagoonspoke {
+
+namespace {
+
+// Peers exchange documents as blobs; an instance has just one, so a request needs no digest.
+const ContentDigest wantedDocument { std::string(64, '0') };
+
+DocumentFollower makeFollower(const InstanceId& instance, DecodeDocument decode)
+{
+    DocumentFollower::Options options;
+    options.seed
+        = stableHash(instance.value(), static_cast<std::uint64_t>(readMonotonicClock().time_since_epoch().count()));
+    return { options, std::move(decode) };
+}
+
+} // namespace
+
+struct DocumentService::State : std::enable_shared_from_this<State> {
+    State(asio::io_context& context, Options serviceOptions, DecodeDocument decode, ConfigurationPeers servicePeers,
+        ConfigurationService::Callbacks serviceCallbacks)
+        : timer(context)
+        , options(std::move(serviceOptions))
+        , peers(std::move(servicePeers))
+        , callbacks(std::move(serviceCallbacks))
+        , follower(makeFollower(options.instance, std::move(decode)))
+    {
+    }
+
+    void feed(const DocumentEvent& event)
+    {
+        if (!stopped) {
+            execute(follower.handle(event, readMonotonicClock()));
+        }
+    }
+
+    void execute(std::vector<DocumentAction> actions)
+    {
+        for (auto& action : actions) {
+            std::visit([this](auto& it) { run(it); }, action);
+        }
+        scheduleWakeup();
+    }
+
+    void scheduleWakeup()
+    {
+        auto next = follower.nextWakeup();
+        if (stopped || !next) {
+            return;
+        }
+        timer.expires_after(std::max(Duration(0), *next - readMonotonicClock()));
+        timer.async_wait([self = shared_from_this()](error_code ec) {
+            if (!ec && !self->stopped) {
+                self->execute(self->follower.advance(readMonotonicClock()));
+            }
+        });
+    }
+
+    void run(ApplyDocument& it)
+    {
+        LogLine(LogLevel::Info, "configuration_applied")
+            .add("number", it.snapshot->number())
+            .add("routes", it.snapshot->configuration().routes.size())
+            .add("teams", it.snapshot->configuration().teams.size());
+        callbacks.applySnapshot(std::move(it.snapshot));
+        callbacks.setKeyedAdmission(true);
+    }
+    void run(const TellNumber& it) const
+    {
+        for (const auto& peer : it.peers) {
+            send(peer, HeadNotice { it.number, {}, it.replyWanted });
+        }
+    }
+    void run(const AskForDocument& it) const
+    {
+        BlobRequest request;
+        request.digests.push_back(wantedDocument);
+        send(it.peer, request);
+    }
+    void run(const SendDocument& it) const { send(it.peer, BlobReply { wantedDocument, it.text }); }
+    void run(const ReportInvalidDocument& it) const
+    {
+        for (const auto& error : it.errors) {
+            LogLine(LogLevel::Error, "configuration_refused")
+                .add("document", options.name)
+                .add("in_force", follower.number())
+                .add("path", error.path)
+                .add("reason", error.message);
+        }
+    }
+
+    void send(const InstanceId& to, const ConfigurationMessage& message) const
+    {
+        if (peers.send) {
+            peers.send(to, encodeConfigurationMessage(message));
+        }
+    }
+
+    asio::steady_timer timer;
+    Options options;
+    ConfigurationPeers peers;
+    ConfigurationService::Callbacks callbacks;
+    DocumentFollower follower;
+    std::unique_ptr<CollectionWatcher> watcher;
+    bool stopped = false;
+};
+
+DocumentService::DocumentService(asio::io_context& io, Options options, ObjectCollectionPtr collection,
+    DecodeDocument decode, ConfigurationPeers peers, ConfigurationService::Callbacks callbacks)
+    : m_state(std::make_shared<State>(io, options, std::move(decode), std::move(peers), std::move(callbacks)))
+{
+    CollectionWatcher::Callbacks watched;
+    watched.updated = [state = m_state.get()](const std::map<std::string, std::string>& items) {
+        state->feed(DocumentStoreReachable { true });
+        if (auto it = items.find(state->options.name); it != items.end()) {
+            state->feed(DocumentRead { it->second });
+        }
+    };
+    watched.reachable = [state = m_state.get()](bool reachable) { state->feed(DocumentStoreReachable { reachable }); };
+    m_state->watcher = std::make_unique<CollectionWatcher>(
+        io, "configuration", std::move(collection), options.follower, std::move(watched));
+}
+
+DocumentService::~DocumentService()
+{
+    stop();
+}
+
+void DocumentService::start()
+{
+    m_state->watcher->start();
+    m_state->scheduleWakeup();
+}
+
+void DocumentService::stop()
+{
+    m_state->stopped = true;
+    m_state->timer.cancel();
+    m_state->watcher->stop();
+}
+
+void DocumentService::handleMembers(const std::vector<Member>& members)
+{
+    DocumentPeersChanged changed;
+    for (const auto& member : members) {
+        if (member.id != m_state->options.instance && member.state != MemberState::Dead) {
+            changed.peers.push_back(member.id);
+        }
+    }
+    m_state->feed(changed);
+}
+
+void DocumentService::handlePeerMessage(const InstanceId& from, std::string_view payload)
+{
+    auto message = decodeConfigurationMessage(payload);
+    if (!message) {
+        LogLine(LogLevel::Warning, "peer_message_refused")
+            .add("from", from.value())
+            .add("reason", message.error().message);
+        return;
+    }
+    std::visit(Overload {
+                   [&](const HeadNotice& it) {
+                       m_state->feed(DocumentNumberHeard { from, it.number, it.replyWanted });
+                   },
+                   [&](const BlobRequest&) { m_state->feed(DocumentWanted { from }); },
+                   [&](const BlobReply& it) {
+                       if (it.content) {
+                           m_state->feed(DocumentReceived { from, *it.content });
+                       }
+                   },
+               },
+        *message);
+}
+
+} // namespace lagoonspoke
--- /dev/null
+++ b/src/daemon/DocumentService.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "config/DocumentFollower.h"
+#include "daemon/ConfigurationService.h"
+#include "external/CollectionFollower.h"
+
+namespace lagoonspoke {
+
+// Keeps the configuration of an installation whose operators write it as one document in the store. Follows the
+// document's collection and passes it on between peers, so that instances that the store turns away hear of it.
+// Owned by the Daemon; used on the control thread only.
+class DocumentService {
+public:
+    struct Options {
+        InstanceId instance;
+        std::string name; // of the document in its collection
+        CollectionFollower::Options follower;
+    };
+
+    DocumentService(asio::io_context&, Options, ObjectCollectionPtr, DecodeDocument, ConfigurationPeers,
+        ConfigurationService::Callbacks);
+    ~DocumentService();
+
+    void start();
+    // Makes no call and runs no callback afterwards.
+    void stop();
+
+    void handleMembers(const std::vector<Member>&);
+    void handlePeerMessage(const InstanceId& from, std::string_view payload);
+
+private:
+    struct State;
+
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace lagoonspoke
--- a/src/daemon/EngineMonitor.cpp
+++ b/src/daemon/EngineMonitor.cpp
@@ -3,7 +3,7 @@
 #include <random>
 
 #include "http/Endpoint.h"
-#include "platform/EngineClient.h"
+#include "external/EngineClient.h"
 
 namespace lagoonspoke {
 
--- a/src/daemon/FleetService.cpp
+++ b/src/daemon/FleetService.cpp
@@ -5,7 +5,7 @@
 #include "http/Endpoint.h"
 #include "lagoonspoke/core/Overload.h"
 #include "observe/LogLine.h"
-#include "platform/OrderLogCodec.h"
+#include "external/OrderLogCodec.h"
 
 namespace lagoonspoke {
 
@@ -44,7 +44,7 @@
 } // namespace
 
 FleetService::FleetService(
-    asio::io_context& io, Options options, ObjectStoreClient store, tcp::endpoint fleetInterface, MayAct mayAct)
+    asio::io_context& io, Options options, ObjectStorePtr store, tcp::endpoint fleetInterface, MayAct mayAct)
     : m_io(io)
     , m_options(std::move(options))
     , m_store(std::move(store))
@@ -237,7 +237,7 @@
 
 asio::awaitable<void> FleetService::read(DataCentreId dataCentre, ReadOrderLog call)
 {
-    auto object = co_await m_store.get(orderLogKey(dataCentre));
+    auto object = co_await m_store->get(orderLogKey(dataCentre));
     if (!object && object.error().code == ErrorCode::NotFound) {
         drive(dataCentre, OrderLogRead { call.call, {}, {} });
         co_return;
@@ -253,7 +253,7 @@
 
 asio::awaitable<void> FleetService::write(DataCentreId dataCentre, WriteOrderLog call)
 {
-    auto version = co_await m_store.write(orderLogKey(dataCentre), encodeOrderLog(call.record), call.version);
+    auto version = co_await m_store->write(orderLogKey(dataCentre), encodeOrderLog(call.record), call.version);
     if (version) {
         drive(dataCentre, OrderLogWritten { call.call, *version });
     } else {
--- a/src/daemon/FleetService.h
+++ b/src/daemon/FleetService.h
@@ -11,8 +11,8 @@
 #include "fleet/FleetPlanner.h"
 #include "fleet/LoadPacer.h"
 #include "fleet/OrderLog.h"
-#include "platform/FleetClient.h"
-#include "platform/ObjectStoreClient.h"
+#include "external/FleetClient.h"
+#include "external/ObjectStore.h"
 
 namespace lagoonspoke {
 
@@ -35,7 +35,7 @@
     using MayAct = std::function<std::optional<FencingToken>(const DataCentreId&)>;
     using DrainingChanged = std::function<void(const std::set<BackendServerId>&)>;
 
-    FleetService(asio::io_context&, Options, ObjectStoreClient, tcp::endpoint fleetInterface, MayAct);
+    FleetService(asio::io_context&, Options, ObjectStorePtr, tcp::endpoint fleetInterface, MayAct);
     ~FleetService();
 
     // Called with all servers of the held data centres that must get no new work.
@@ -83,7 +83,7 @@
 
     asio::io_context& m_io;
     Options m_options;
-    ObjectStoreClient m_store;
+    ObjectStorePtr m_store;
     MayAct m_mayAct;
     DrainingChanged m_drainingChanged;
     std::map<DataCentreId, std::unique_ptr<Site>> m_sites;
--- a/src/daemon/FleetServiceTest.cpp
+++ b/src/daemon/FleetServiceTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "settings/JsonReader.h"
+#include "external/ObjectStoreClient.h"
 #include "standins/FleetStandin.h"
 #include "standins/StoreStandin.h"
 
@@ -31,7 +32,7 @@
         options.dataCentres = { dataCentre };
         options.adjustInterval = 20ms;
         auto service
-            = std::make_unique<FleetService>(m_io, options, ObjectStoreClient(m_storeServer->endpoint(), callBound),
+            = std::make_unique<FleetService>(m_io, options, std::make_shared<ObjectStoreClient>(m_storeServer->endpoint(), callBound),
                 m_fleetServer->endpoint(), [this](const DataCentreId&) { return token; });
         service->start();
         return service;
--- a/src/daemon/LeaseService.cpp
+++ b/src/daemon/LeaseService.cpp
@@ -5,7 +5,7 @@
 #include "lagoonspoke/core/Overload.h"
 #include "lease/LeaseCandidacy.h"
 #include "observe/LogLine.h"
-#include "platform/LeaseCodec.h"
+#include "external/LeaseCodec.h"
 
 namespace lagoonspoke {
 
@@ -19,11 +19,13 @@
 
 } // namespace
 
-LeaseService::LeaseService(asio::io_context& io, ObjectStoreClient store, InstanceId instance, std::string process)
+LeaseService::LeaseService(asio::io_context& io, ObjectStorePtr store, InstanceId instance, std::string process,
+    LeaseMachine::Options options)
     : m_io(io)
     , m_store(std::move(store))
     , m_instance(std::move(instance))
     , m_process(std::move(process))
+    , m_options(std::move(options))
 {
     addLease(usageLease(), {});
 }
@@ -35,7 +37,7 @@
     if (m_leases.contains(lease)) {
         return;
     }
-    LeaseMachine::Options options;
+    auto options = m_options;
     options.self = m_process;
     m_leases.emplace(lease, Held { LeaseMachine::Make(options), std::move(preferred) });
 }
@@ -127,7 +129,7 @@
 
 asio::awaitable<void> LeaseService::read(std::string lease, ReadLease call)
 {
-    auto object = co_await m_store.get("lease/" + lease);
+    auto object = co_await m_store->get("lease/" + lease);
     if (!object) {
         if (object.error().code == ErrorCode::NotFound) {
             handle(lease, LeaseRead { call.call, {} });
@@ -147,7 +149,7 @@
 
 asio::awaitable<void> LeaseService::write(std::string lease, WriteLease call)
 {
-    auto version = co_await m_store.write("lease/" + lease, encodeLease(call.record), call.version);
+    auto version = co_await m_store->write("lease/" + lease, encodeLease(call.record), call.version);
     if (version) {
         handle(lease, LeaseWritten { call.call, *version });
     } else if (version.error().code == ErrorCode::Conflict) {
--- a/src/daemon/LeaseService.h
+++ b/src/daemon/LeaseService.h
@@ -9,7 +9,7 @@
 
 #include "daemon/PeerService.h"
 #include "lease/LeaseMachine.h"
-#include "platform/ObjectStoreClient.h"
+#include "external/ObjectStore.h"
 
 namespace lagoonspoke {
 
@@ -22,7 +22,7 @@
     using Changed = std::function<void(const std::string& lease, std::optional<FencingToken>)>;
 
     // The process's name is unique for each start, so that a restarted instance is not taken for its predecessor.
-    LeaseService(asio::io_context&, ObjectStoreClient, InstanceId, std::string process);
+    LeaseService(asio::io_context&, ObjectStorePtr, InstanceId, std::string process, LeaseMachine::Options = {});
     ~LeaseService();
 
     void setChanged(Changed changed) { m_changed = std::move(changed); }
@@ -52,9 +52,10 @@
     asio::awaitable<void> write(std::string lease, WriteLease);
 
     asio::io_context& m_io;
-    ObjectStoreClient m_store;
+    ObjectStorePtr m_store;
     InstanceId m_instance;
     std::string m_process;
+    LeaseMachine::Options m_options;
     Changed m_changed;
     std::map<std::string, Held> m_leases;
     bool m_stopped = false;
--- a/src/daemon/PeerService.cpp
+++ b/src/daemon/PeerService.cpp
@@ -5,13 +5,14 @@
 
 namespace lagoonspoke {
 
-Outcome<std::unique_ptr<PeerService>> PeerService::Make(asio::io_context& io, const DaemonSettings& settings)
+Outcome<std::unique_ptr<PeerService>> PeerService::Make(
+    asio::io_context& io, const DaemonSettings& settings, InstanceDirectoryPtr directory)
 {
     auto ports = PeerPorts::Make(io, settings.peerAddress);
     if (!ports) {
         return tl::make_unexpected(ports.error());
     }
-    return std::unique_ptr<PeerService>(new PeerService(std::make_shared<State>(io, settings, std::move(*ports))));
+    return std::unique_ptr<PeerService>(new PeerService(std::make_shared<State>(io, settings, std::move(*ports), std::move(directory))));
 }
 
 PeerService::PeerService(std::shared_ptr<State> state)
@@ -31,8 +32,8 @@
     };
     spawn(m_state->acceptLinks());
     spawn(m_state->receiveDatagrams());
-    if (!m_state->settings.instanceListAddress.empty()) {
-        spawn(m_state->pollList(*parseEndpoint(m_state->settings.instanceListAddress)));
+    if (m_state->source) {
+        m_state->source->start(m_state->io, address(), m_state->makeSink());
     }
     m_state->scheduleWakeup();
 }
@@ -49,7 +50,9 @@
     }
     m_state->ports.close();
     m_state->timer.cancel();
-    m_state->listTimer.cancel();
+    if (m_state->source) {
+        m_state->source->stop();
+    }
     for (auto& [peer, link] : m_state->links) {
         link->close();
     }
@@ -68,9 +71,9 @@
     return formatEndpoint(m_state->ports.endpoint());
 }
 
-bool PeerService::knowsInstances() const
+bool PeerService::knowsServers() const
 {
-    return m_state->listRead;
+    return m_state->serversRead;
 }
 
 const std::vector<Member>& PeerService::members() const
--- a/src/daemon/PeerService.h
+++ b/src/daemon/PeerService.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "external/InstanceDirectory.h"
 #include "http/Asio.h"
 #include "lagoonspoke/core/Error.h"
 #include "lagoonspoke/core/Ids.h"
@@ -29,7 +30,9 @@
 public:
     using Receiver = std::function<void(const InstanceId& from, std::string_view payload)>;
 
-    static Outcome<std::unique_ptr<PeerService>> Make(asio::io_context&, const DaemonSettings&);
+    // Without a directory the instance knows only itself.
+    static Outcome<std::unique_ptr<PeerService>> Make(
+        asio::io_context&, const DaemonSettings&, InstanceDirectoryPtr = nullptr);
     ~PeerService();
 
     void start();
@@ -38,8 +41,8 @@
     void stop();
 
     std::string address() const; // IP:port as bound
-    // Whether the instance list was read at least once. Before, this instance knows only itself.
-    bool knowsInstances() const;
+    // Whether the backend servers were read at least once.
+    bool knowsServers() const;
     // Every known member, this instance included.
     const std::vector<Member>& members() const;
     // Sends at best effort and in order over one link; dropped when the peer cannot be reached.
--- a/src/daemon/PeerServiceState.cpp
+++ b/src/daemon/PeerServiceState.cpp
@@ -5,7 +5,6 @@
 #include "http/Endpoint.h"
 #include "lagoonspoke/core/Overload.h"
 #include "observe/LogLine.h"
-#include "platform/InstanceListClient.h"
 #include "wire/MembershipCodec.h"
 
 namespace lagoonspoke {
@@ -14,8 +13,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration listInterval = 1s;
-constexpr Duration listBound = 2s;
 constexpr Duration acceptRetry = 100ms; // when the process has no descriptor left
 
 Membership::Options makeMembershipOptions(const DaemonSettings& settings, const std::string& address)
@@ -30,13 +27,14 @@
 
 } // namespace
 
-PeerService::State::State(asio::io_context& io, const DaemonSettings& settings, PeerPorts ports)
+PeerService::State::State(
+    asio::io_context& io, const DaemonSettings& settings, PeerPorts ports, InstanceDirectoryPtr instanceDirectory)
     : io(io)
     , settings(settings)
     , ports(std::move(ports))
     , membership(Membership::Make(makeMembershipOptions(settings, formatEndpoint(this->ports.endpoint()))))
+    , source(std::move(instanceDirectory))
     , timer(io)
-    , listTimer(io)
 {
 }
 
@@ -237,30 +235,25 @@
     }
 }
 
-asio::awaitable<void> PeerService::State::pollList(tcp::endpoint endpoint)
+InstanceDirectory::Sink PeerService::State::makeSink()
 {
-    InstanceListClient client(std::move(endpoint), listBound);
-    std::minstd_rand random { std::random_device {}() };
-    std::uniform_real_distribution<double> jitter(0.8, 1.2);
-    while (!stopped) {
-        auto list = co_await client.fetch();
-        if (stopped) {
-            break;
+    std::weak_ptr<State> weak = weak_from_this();
+    InstanceDirectory::Sink sink;
+    sink.instances = [weak](std::vector<Member> members) {
+        if (auto self = weak.lock()) {
+            self->handle(CandidatesChanged { std::move(members) });
         }
-        if (list) {
-            listRead = true;
-            handle(CandidatesChanged { std::move(list->instances) });
-            for (const auto& rumour : directory.setList(std::move(list->servers))) {
-                handle(RumourPublished { rumour });
+    };
+    sink.servers = [weak](std::vector<BackendServer> servers) {
+        if (auto self = weak.lock(); self && !self->stopped) {
+            self->serversRead = true;
+            for (const auto& rumour : self->directory.setList(std::move(servers))) {
+                self->handle(RumourPublished { rumour });
             }
-            notifyServers();
-        } else if (listAnswers) {
-            LogLine(LogLevel::Warning, "instance_list_failed").add("error", list.error().message);
+            self->notifyServers();
         }
-        listAnswers = list.has_value();
-        listTimer.expires_after(std::chrono::duration_cast<Duration>(listInterval * jitter(random)));
-        co_await listTimer.async_wait(useTuple);
-    }
+    };
+    return sink;
 }
 
 } // namespace lagoonspoke
--- a/src/daemon/PeerServiceState.h
+++ b/src/daemon/PeerServiceState.h
@@ -15,7 +15,7 @@
 // What PeerService runs: the membership decider, its sockets and the instance list. Shared with the coroutines of the
 // sockets, which end some time after stop().
 struct PeerService::State : std::enable_shared_from_this<PeerService::State> {
-    State(asio::io_context&, const DaemonSettings&, PeerPorts);
+    State(asio::io_context&, const DaemonSettings&, PeerPorts, InstanceDirectoryPtr);
 
     std::string makeHello() const;
     void handle(const MembershipEvent&);
@@ -30,17 +30,18 @@
     void dropStaleLinks();
     void notifyServers();
 
+    InstanceDirectory::Sink makeSink();
+
     asio::awaitable<void> acceptLinks();
     asio::awaitable<void> receiveDatagrams();
-    asio::awaitable<void> pollList(tcp::endpoint);
 
     asio::io_context& io;
     const DaemonSettings& settings;
     PeerPorts ports;
     Membership membership;
+    InstanceDirectoryPtr source; // null without one
     ServerDirectory directory;
     asio::steady_timer timer;
-    asio::steady_timer listTimer;
     std::map<InstanceId, std::shared_ptr<PeerLink>> links;
     std::set<std::shared_ptr<PeerSession>> sessions; // accepted
     std::map<PeerChannel, Receiver> receivers;
@@ -48,8 +49,7 @@
     std::function<void(const Rumour&)> rumourReceiver = [](const Rumour&) {};
     std::function<void(std::vector<BackendServer>)> serversChanged = [](const auto&) {};
     std::function<void(const InstanceId&)> peerLost = [](const InstanceId&) {};
-    bool listAnswers = true;
-    bool listRead = false;
+    bool serversRead = false;
     bool stopped = false;
 };
 
--- a/src/daemon/PeerServiceTest.cpp
+++ b/src/daemon/PeerServiceTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include "external/PolledDirectory.h"
 #include "http/Endpoint.h"
 #include "http/HttpServer.h"
 
@@ -28,8 +29,7 @@
             it.dataCentre = DataCentreId("a");
             it.region = RegionId("riga");
             it.peerAddress = "127.0.0.1:0";
-            it.instanceListAddress = formatEndpoint(list->endpoint());
-            services[i] = std::move(*PeerService::Make(io, it));
+            services[i] = std::move(*PeerService::Make(io, it, std::make_shared<PolledDirectory>(list->endpoint())));
             instances += fmt::format(R"({}{{"id": "e{}", "data_centre": "a", "region": "riga", "peer_address": "{}"}})",
                 i ? "," : "", i, services[i]->address());
         }
--- a/src/daemon/PlatformServices.h
+++ b/src/daemon/StoreServices.h
@@ -4,8 +4,11 @@
 #include <memory>
 #include <optional>
 
+#include "daemon/CapacityService.h"
 #include "daemon/ConfigurationService.h"
 #include "daemon/DemandService.h"
+#include "daemon/DocumentService.h"
+#include "daemon/ExternalInterfaces.h"
 #include "daemon/FleetService.h"
 #include "daemon/LeaseService.h"
 #include "daemon/PeerService.h"
@@ -14,9 +17,9 @@
 
 namespace lagoonspoke {
 
-// What an instance does through the platform's object store: configuration, leases and usage.
+// What an instance does through the object store: configuration, leases, usage and orders of backend servers.
 // Owned by the Daemon, which has none with a static configuration; used on the control thread only.
-class PlatformServices {
+class StoreServices {
 public:
     struct Callbacks {
         std::function<void(SnapshotPtr)> applySnapshot;
@@ -24,9 +27,8 @@
         std::function<std::vector<DomainLoad>()> ownLoads; // of the domains whose dispatchers run here
     };
 
-    // Errors: InvalidArgument when an address of the settings cannot be parsed.
-    static Outcome<std::unique_ptr<PlatformServices>> Make(
-        asio::io_context&, const DaemonSettings&, PeerService&, Callbacks);
+    // The interfaces must have an object store.
+    StoreServices(asio::io_context&, const DaemonSettings&, const ExternalInterfaces&, PeerService&, Callbacks);
 
     void start();
     void handleMembers();
@@ -37,20 +39,13 @@
     asio::awaitable<void> stop();
 
     UsageSink usageSink();
-    std::uint64_t configurationNumber() const { return m_configuration.number(); }
 
 private:
-    struct Endpoints {
-        tcp::endpoint store;
-        std::optional<tcp::endpoint> usage;
-        std::optional<tcp::endpoint> fleet;
-    };
-
-    PlatformServices(asio::io_context&, const DaemonSettings&, PeerService&, Callbacks, const Endpoints&);
-
     void changeLease(const std::string& lease, std::optional<FencingToken>);
-    void openFleet(asio::io_context&, const tcp::endpoint&);
+    void openFleet(asio::io_context&, const ExternalInterfaces&);
+    void openConfiguration(asio::io_context&, const ExternalInterfaces&);
     bool holdsFleetLease() const;
+    std::optional<FencingToken> mayOrder(const DataCentreId&) const;
     DemandService::Callbacks makeDemandCallbacks();
 
     const DaemonSettings& m_settings;
@@ -58,10 +53,14 @@
     Callbacks m_callbacks;
     std::string m_process; // tells this process from an earlier one with the same instance id
     std::vector<DataCentreId> m_dataCentres; // among which backend servers are planned
-    ConfigurationService m_configuration;
+    // One of the two: change tickets, or the operators' document.
+    std::optional<ConfigurationService> m_tickets;
+    std::optional<DocumentService> m_document;
     LeaseService m_leases;
     UsageService m_usage;
-    std::optional<FleetService> m_fleet; // none without a backend server interface
+    // At most one of the two: orders of single backend servers, or of wished numbers.
+    std::optional<FleetService> m_fleet;
+    std::optional<CapacityService> m_capacity;
     DemandService m_demand;
 };
 
--- a/src/daemon/TrafficThread.cpp
+++ b/src/daemon/TrafficThread.cpp
@@ -11,6 +11,7 @@
 HttpExchange::Limits makeLimits(const DaemonSettings& settings)
 {
     HttpExchange::Limits limits;
+    limits.answersIdleTimeout = settings.answersIdleTimeout;
     limits.maxHeaderBytes = static_cast<std::size_t>(settings.maxHeaderBytes);
     limits.maxBodyBytes = static_cast<std::size_t>(settings.maxBodyBytes);
     limits.idleTimeout = settings.idleTimeout;
@@ -31,9 +32,11 @@
 } // namespace
 
 Outcome<std::unique_ptr<TrafficThread>> TrafficThread::Make(int index, const DaemonSettings& settings,
-    const tcp::endpoint& endpoint, RequestMetrics& metrics, SendToControl send)
+    const tcp::endpoint& endpoint, const CallerDialect& dialect, RequestMetrics& metrics, SendToControl send,
+    asio::io_context* control)
 {
-    std::unique_ptr<TrafficThread> thread(new TrafficThread(index, settings, metrics, std::move(send)));
+    std::unique_ptr<TrafficThread> thread(
+        new TrafficThread(index, settings, dialect, metrics, std::move(send), control));
     auto handler = [service = &thread->m_service](HttpExchange& exchange) { return service->handle(exchange); };
     auto server = HttpServer::Make(thread->m_io, endpoint, makeServerOptions(settings), handler);
     if (!server) {
@@ -43,12 +46,14 @@
     return thread;
 }
 
-TrafficThread::TrafficThread(int index, const DaemonSettings& settings, RequestMetrics& metrics, SendToControl send)
+TrafficThread::TrafficThread(int index, const DaemonSettings& settings, const CallerDialect& dialect,
+    RequestMetrics& metrics, SendToControl send, asio::io_context* control)
     : m_settings(settings)
-    , m_io(1)
+    , m_ownIo(control ? nullptr : std::make_unique<asio::io_context>(1))
+    , m_io(control ? *control : *m_ownIo)
     , m_work(asio::make_work_guard(m_io))
     , m_placement(m_io, [index, send = std::move(send)](EntryMessage message) { send(index, std::move(message)); })
-    , m_service(m_io.get_executor(), settings, m_placement, metrics,
+    , m_service(m_io.get_executor(), dialect, settings, m_placement, metrics,
           fmt::format("{}-{:x}-{}", settings.instance.value(), readMonotonicClock().time_since_epoch().count(), index))
 {
 }
@@ -61,7 +66,9 @@
 void TrafficThread::start()
 {
     m_server->start();
-    m_thread = std::thread([this] { m_io.run(); });
+    if (m_ownIo) {
+        m_thread = std::thread([this] { m_io.run(); });
+    }
 }
 
 void TrafficThread::applySnapshot(SnapshotPtr snapshot)
@@ -69,7 +76,9 @@
     asio::post(m_io, [this, snapshot = std::move(snapshot)]() mutable {
         m_server->setLimits(makeLimits(applyInstallation(m_settings, snapshot->configuration())));
         m_service.applySnapshot(std::move(snapshot));
-        m_server->closeIdleConnections([this](const std::string& owner) { return !m_service.isValidKey(owner); });
+        if (!m_settings.finishesWithdrawnRequests) {
+            m_server->closeIdleConnections([this](const std::string& owner) { return !m_service.isValidKey(owner); });
+        }
     });
 }
 
@@ -110,7 +119,9 @@
 void TrafficThread::stop()
 {
     m_work.reset();
-    m_io.stop();
+    if (m_ownIo) {
+        m_io.stop();
+    }
     if (m_thread.joinable()) {
         m_thread.join();
     }
--- a/src/daemon/TrafficThread.h
+++ b/src/daemon/TrafficThread.h
@@ -9,14 +9,15 @@
 
 namespace lagoonspoke {
 
-// One thread with its own event loop, caller listener and requests. Owned by the Daemon.
-// Public members may be called from any thread; they post to the event loop.
+// A caller listener and its requests, on a thread with its own event loop or on the control thread's. Owned by the
+// Daemon. Public members may be called from any thread; they post to the event loop.
 class TrafficThread {
 public:
     using SendToControl = std::function<void(int thread, EntryMessage)>;
 
-    static Outcome<std::unique_ptr<TrafficThread>> Make(
-        int index, const DaemonSettings&, const tcp::endpoint&, RequestMetrics&, SendToControl);
+    // Without an event loop of the control thread, it runs a thread of its own.
+    static Outcome<std::unique_ptr<TrafficThread>> Make(int index, const DaemonSettings&, const tcp::endpoint&,
+        const CallerDialect&, RequestMetrics&, SendToControl, asio::io_context* control = nullptr);
     ~TrafficThread();
 
     tcp::endpoint endpoint() const { return m_server->endpoint(); }
@@ -32,12 +33,14 @@
     void stop();
 
 private:
-    TrafficThread(int index, const DaemonSettings&, RequestMetrics&, SendToControl);
+    TrafficThread(int index, const DaemonSettings&, const CallerDialect&, RequestMetrics&, SendToControl,
+        asio::io_context* control);
 
     asio::awaitable<void> waitUntilIdle(std::function<void()> done);
 
     const DaemonSettings& m_settings;
-    asio::io_context m_io;
+    std::unique_ptr<asio::io_context> m_ownIo; // null on the control thread
+    asio::io_context& m_io;
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     PlacementClient m_placement;
     CallerService m_service;
--- a/src/daemon/UsageService.cpp
+++ b/src/daemon/UsageService.cpp
@@ -24,11 +24,12 @@
     return UsageLedger::Make(options);
 }
 
-UsageSealer makeSealer(Duration window)
+UsageSealer makeSealer(const UsageService::Options& service, const UsageReporterPtr& reporter)
 {
     UsageSealer::Options options;
     // Short windows are used in demonstrations, which should not wait longer for a seal than for a window.
-    options.grace = std::min(options.grace, window);
+    options.grace = std::min(service.sealGrace, service.window);
+    options.reportsWholeWindows = reporter && reporter->takesWholeWindows();
     return UsageSealer::Make(options);
 }
 
@@ -64,16 +65,16 @@
 
 } // namespace
 
-UsageService::UsageService(asio::io_context& io, Options options, ObjectStoreClient store,
-    std::optional<UsageClient> client, SendToPeer send, MayAct mayAct)
+UsageService::UsageService(asio::io_context& io, Options options, ObjectStorePtr store,
+    UsageReporterPtr reporter, SendToPeer send, MayAct mayAct)
     : m_io(io)
     , m_options(std::move(options))
     , m_store(std::move(store))
-    , m_client(std::move(client))
+    , m_reporter(std::move(reporter))
     , m_send(std::move(send))
     , m_mayAct(std::move(mayAct))
     , m_ledger(makeLedger(m_options.writer, m_options.window))
-    , m_sealer(makeSealer(m_options.window))
+    , m_sealer(makeSealer(m_options, m_reporter))
     , m_timer(io)
 {
     readClock();
@@ -259,7 +260,7 @@
 
 asio::awaitable<UsageAnswer> UsageService::carryOut(ListUsageKeys call)
 {
-    auto entries = co_await m_store.list(call.prefix);
+    auto entries = co_await m_store->list(call.prefix);
     auto answer = makeAnswer(call.call, entries);
     if (entries) {
         for (auto& entry : *entries) {
@@ -271,7 +272,7 @@
 
 asio::awaitable<UsageAnswer> UsageService::carryOut(ReadUsageObject call)
 {
-    auto object = co_await m_store.get(call.key);
+    auto object = co_await m_store->get(call.key);
     auto answer = makeAnswer(call.call, object);
     if (object) {
         answer.value = std::move(object->value);
@@ -282,7 +283,7 @@
 asio::awaitable<UsageAnswer> UsageService::carryOut(CreateUsageObject call)
 {
     auto key = call.key;
-    auto version = co_await m_store.create(std::move(call.key), std::move(call.value));
+    auto version = co_await m_store->create(std::move(call.key), std::move(call.value));
     auto answer = makeAnswer(call.call, version);
     if (version && key.ends_with("/sealed")) {
         LogLine(LogLevel::Info, "usage_sealed").add("key", key);
@@ -292,15 +293,15 @@
 
 asio::awaitable<UsageAnswer> UsageService::carryOut(RemoveUsageObject call)
 {
-    co_return makeAnswer(call.call, co_await m_store.remove(std::move(call.key), call.version));
+    co_return makeAnswer(call.call, co_await m_store->remove(std::move(call.key), call.version));
 }
 
 asio::awaitable<UsageAnswer> UsageService::carryOut(SendUsageReport call)
 {
-    if (!m_client) {
+    if (!m_reporter) {
         co_return UsageAnswer { call.call, UsageAnswer::Status::Done, {}, {} };
     }
-    auto outcome = co_await m_client->report(call.report);
+    auto outcome = co_await m_reporter->report(call.report);
     if (!outcome) {
         LogLine(LogLevel::Warning, "usage_report_failed")
             .add("report", call.report.id)
--- a/src/daemon/UsageService.h
+++ b/src/daemon/UsageService.h
@@ -7,8 +7,8 @@
 
 #include "daemon/PeerService.h"
 #include "lagoonspoke/usage/UsageRecord.h"
-#include "platform/ObjectStoreClient.h"
-#include "platform/UsageClient.h"
+#include "external/ObjectStore.h"
+#include "external/UsageReporter.h"
 #include "usage/UsageLedger.h"
 #include "usage/UsageSealer.h"
 
@@ -24,12 +24,14 @@
         DataCentreId dataCentre;
         RegionId region;
         Duration window = std::chrono::seconds(60);
+        // Time after the end of a window for the instances to write their records.
+        Duration sealGrace = std::chrono::seconds(5);
     };
     using SendToPeer = std::function<void(const InstanceId&, std::string payload)>;
     using MayAct = std::function<std::optional<FencingToken>()>;
 
-    // SendToPeer sends on PeerChannel::Usage. MayAct is asked directly before each write under the lease on usage.
-    UsageService(asio::io_context&, Options, ObjectStoreClient, std::optional<UsageClient>, SendToPeer, MayAct);
+    // The reporter may be null. SendToPeer sends on PeerChannel::Usage. MayAct is asked directly before each write under the lease on usage.
+    UsageService(asio::io_context&, Options, ObjectStorePtr, UsageReporterPtr, SendToPeer, MayAct);
     ~UsageService();
 
     void start();
@@ -72,8 +74,8 @@
 
     asio::io_context& m_io;
     Options m_options;
-    ObjectStoreClient m_store;
-    std::optional<UsageClient> m_client;
+    ObjectStorePtr m_store;
+    UsageReporterPtr m_reporter;
     SendToPeer m_send;
     MayAct m_mayAct;
     UsageLedger m_ledger;
--- a/src/dispatch/GrantTracker.cpp
+++ b/src/dispatch/GrantTracker.cpp
@@ -134,6 +134,11 @@
             noteDeath(granted, *server, now);
         }
         break;
+    case FinishOutcome::Declined:
+        if (server) {
+            server->noteDeclined(now);
+        }
+        break;
     case FinishOutcome::CallerLeft:
     case FinishOutcome::Aborted:
         break;
--- a/src/dispatch/ServerSelector.cpp
+++ b/src/dispatch/ServerSelector.cpp
@@ -13,6 +13,8 @@
 // request that has time, unless none came for the second.
 constexpr Duration slowTrialPause = std::chrono::seconds(5);
 constexpr Duration longestTrialPause = std::chrono::seconds(30);
+// A server that declined a request gets none for this time; it is about that of one short request.
+constexpr Duration declinedPause = std::chrono::milliseconds(100);
 // Suspect requests may keep at most this part of the servers from the others, and one in any case.
 constexpr std::size_t isolationDivisor = 4;
 
@@ -77,7 +79,7 @@
     if (state.health.isEjected()) {
         return state.health.wantsProbe(now) && waiting.place.idempotent;
     }
-    if (!state.hasFreeSlot()) {
+    if (!state.hasFreeSlot() || state.declinedSince(now - declinedPause)) {
         return false;
     }
     if (!state.slow) {
--- a/src/dispatch/ServerState.h
+++ b/src/dispatch/ServerState.h
@@ -25,6 +25,10 @@
     // Corrects the token rate from a report that is newer than every observation of this dispatcher.
     void noteReport(int running, double tokensPerSecond, Duration age, MonotonicTime now);
 
+    // The server declined a request, as it is full of work that this dispatcher does not know of.
+    void noteDeclined(MonotonicTime now) { m_declinedAt = now; }
+    bool declinedSince(MonotonicTime time) const { return m_declinedAt && *m_declinedAt > time; }
+
     // Seconds to the first byte for one uncached prompt token on an otherwise empty server.
     double secondsPerPromptToken() const { return m_secondsPerPromptToken; }
     // Tokens per second of one request; empty before the first observation.
@@ -50,6 +54,7 @@
     double m_secondsPerPromptToken;
     std::optional<double> m_tokenRate;
     MonotonicTime m_newestObservation {};
+    std::optional<MonotonicTime> m_declinedAt;
 };
 
 } // namespace lagoonspoke
--- a/src/entry/AnswerRelay.cpp
+++ b/src/entry/AnswerRelay.cpp
@@ -3,6 +3,8 @@
 #include <absl/strings/ascii.h>
 #include <fmt/format.h>
 
+#include "lagoonspoke/core/Text.h"
+
 namespace lagoonspoke {
 
 namespace {
@@ -39,30 +41,27 @@
 {
 }
 
-void AnswerRelay::readHead(const BackendConnection& connection, const RequestId& id)
+void AnswerRelay::readHead(const BackendConnection& connection)
 {
     const auto& head = connection.head();
     m_status = head.result();
     auto contentType = head[http::field::content_type];
     m_contentType.assign(contentType.data(), contentType.size());
-    m_headers.clear();
-    m_headers.emplace_back("x-request-id", id.value());
-    m_headers.emplace_back("x-lagoonspoke-run", toString(RunStatus::Ran));
-    for (const auto& field : head) {
-        std::string name(field.name_string().data(), field.name_string().size());
-        absl::AsciiStrToLower(&name);
-        if (isForwardedToCaller(name)) {
-            m_headers.emplace_back(std::move(name), std::string(field.value().data(), field.value().size()));
-        }
+}
+
+void AnswerRelay::setHeaders(HeaderList headers)
+{
+    if (!m_started) {
+        m_headers = std::move(headers);
     }
 }
 
 asio::awaitable<RequestEvent> AnswerRelay::relay(
-    BackendConnection& connection, const AdmittedRequest& request, const RequestId& id)
+    BackendConnection& connection, const AdmittedRequest& request)
 {
     bool completion = request.kind == RouteKind::Completion;
     if (!m_started) {
-        readHead(connection, id);
+        readHead(connection);
     }
     m_tokens.startAttempt();
     m_events.reset();
@@ -79,11 +78,16 @@
         m_mode = Mode::Events;
         co_return co_await relayEvents(connection);
     }
-    if (!length && !connection.isChunked()) {
+    if (request.kind == RouteKind::EventStream && m_status == http::status::ok && isEventStream(m_contentType)) {
+        m_mode = Mode::NumberedEvents;
+        co_return co_await relayEvents(connection);
+    }
+    if (!length && !connection.isChunked() && !m_settings.acceptsUnframedAnswers) {
         // The end of such an answer cannot be told from a broken connection.
         co_return AttemptFailed { AttemptFailure::Protocol };
     }
-    if (completion || (length && *length <= maxWholeBytes)) {
+    bool unframed = !length && !connection.isChunked();
+    if (completion || unframed || (length && *length <= maxWholeBytes)) {
         m_mode = Mode::Whole;
         auto limit = static_cast<std::uint64_t>(m_settings.maxBodyBytes);
         co_return co_await relayWhole(connection, std::max(limit, maxWholeBytes), completion);
@@ -189,8 +193,10 @@
             co_return AttemptFailed { failureOf(ec) };
         }
         if (part.empty()) {
-            // A clean end without [DONE] is no complete answer.
-            co_return AttemptFailed { AttemptFailure::Protocol };
+            // A clean end is that of a numbered stream, but for half an event; without [DONE] no other stream is whole.
+            bool complete = m_mode == Mode::NumberedEvents && !m_events.hasPartialEvent();
+            m_tail.clear();
+            co_return complete ? RequestEvent(AnswerCompleted {}) : AttemptFailed { AttemptFailure::Protocol };
         }
         if (auto event = co_await relayPart(part)) {
             co_return *event;
@@ -205,6 +211,14 @@
     int tokens = 0;
     bool done = false;
     while (auto event = done ? std::nullopt : m_events.next()) {
+        if (m_mode == Mode::NumberedEvents) {
+            if (takeEventId(*event)) {
+                m_tokens.countEvent();
+                ++tokens;
+                m_tail += *event;
+            }
+            continue;
+        }
         auto kind = m_tokens.observe(*event);
         tokens += kind == TokenCounter::EventKind::Token;
         m_sawToken = m_sawToken || kind == TokenCounter::EventKind::Token;
@@ -236,6 +250,21 @@
     co_return std::nullopt;
 }
 
+bool AnswerRelay::takeEventId(std::string_view event)
+{
+    auto id = eventIdOf(event);
+    if (id.empty()) {
+        return true;
+    }
+    auto number = parseNumber<std::int64_t>(id);
+    auto last = parseNumber<std::int64_t>(m_lastEventId);
+    if (number && last && *number <= *last) {
+        return false;
+    }
+    m_lastEventId = id;
+    return true;
+}
+
 asio::awaitable<error_code> AnswerRelay::finish()
 {
     if (m_bodyless) {
--- a/src/entry/AnswerRelay.h
+++ b/src/entry/AnswerRelay.h
@@ -35,14 +35,18 @@
 public:
     AnswerRelay(HttpExchange&, const DaemonSettings&, AnswerObserver&);
 
+    // The headers for the caller, of the answer that relay() is called for next. Those of the first attempt stay.
+    void setHeaders(HeaderList);
     // Relays the answer whose head the connection has read. Gives AnswerCompleted, AttemptFailed or Stopped.
-    asio::awaitable<RequestEvent> relay(BackendConnection&, const AdmittedRequest&, const RequestId&);
+    asio::awaitable<RequestEvent> relay(BackendConnection&, const AdmittedRequest&);
     // Sends what was held back.
     asio::awaitable<error_code> finish();
     // Ends a started answer as truncated, with an error event on a stream of events.
     asio::awaitable<void> cut(CallerError, RunStatus);
 
     const TokenCounter& tokens() const { return m_tokens; }
+    // Of the last event of a numbered stream that went to the caller; empty before the first.
+    const std::string& lastEventId() const { return m_lastEventId; }
     // Whether bytes followed the end of the answer.
     bool hasExtraBytes() const { return m_events.hasPartialEvent(); }
     unsigned status() const { return static_cast<unsigned>(m_status); }
@@ -51,14 +55,18 @@
     enum class Mode {
         Whole, // sent at once, with its length
         Events, // server-sent events of a model engine, resumable
+        NumberedEvents, // the same with an id on each event; the end of the answer is the end of the stream
         Sized, // passed on in parts, with its length
         Chunked, // passed on in parts
     };
 
-    void readHead(const BackendConnection&, const RequestId&);
+    void readHead(const BackendConnection&);
     asio::awaitable<RequestEvent> relayWhole(BackendConnection&, std::uint64_t limit, bool completion);
     asio::awaitable<RequestEvent> relayParts(BackendConnection&, std::uint64_t length);
     asio::awaitable<RequestEvent> relayEvents(BackendConnection&);
+    bool relaysEvents() const { return m_mode == Mode::Events || m_mode == Mode::NumberedEvents; }
+    // Notes the event's id; false when it came before, as the first events of a resumed stream may.
+    bool takeEventId(std::string_view event);
     // Moves the whole events of a part to the caller; nothing while the stream goes on.
     asio::awaitable<std::optional<RequestEvent>> relayPart(std::string_view part);
     asio::awaitable<error_code> readPart(BackendConnection&, std::string& part);
@@ -78,6 +86,7 @@
     bool m_bodyless = false;
     bool m_started = false;
     bool m_sawToken = false; // in the current attempt
+    std::string m_lastEventId;
     std::string m_tail;
 };
 
--- a/src/entry/BackendConnection.cpp
+++ b/src/entry/BackendConnection.cpp
@@ -97,6 +97,24 @@
     }
 }
 
+asio::awaitable<bool> BackendConnection::skipAnswer(Duration bound)
+{
+    constexpr std::size_t mostSkipped = 64 * 1024;
+    if (!contentLength() && !isChunked()) {
+        co_return false;
+    }
+    std::string part;
+    std::size_t total = 0;
+    while (!isDone()) {
+        auto ec = co_await readSome(part, bound);
+        total += part.size();
+        if (ec || total > mostSkipped) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
 error_code BackendConnection::parseBody(std::string& part)
 {
     std::array<char, 16 * 1024> buf;
--- a/src/entry/BackendConnection.h
+++ b/src/entry/BackendConnection.h
@@ -28,6 +28,8 @@
     asio::awaitable<error_code> readHead(bool headRequest, Duration bound);
     // Reads the next part of the body; an empty part with no error is the complete end.
     asio::awaitable<error_code> readSome(std::string& part, Duration bound);
+    // Reads the body of an answer that is not wanted, up to 64 KiB; false when that is not possible.
+    asio::awaitable<bool> skipAnswer(Duration bound);
     const http::response_header<>& head() const { return m_parser->get(); }
     std::optional<std::uint64_t> contentLength() const;
     bool isChunked() const { return m_parser->chunked(); }
--- a/src/entry/CallerService.cpp
+++ b/src/entry/CallerService.cpp
@@ -8,11 +8,12 @@
 
 namespace lagoonspoke {
 
-CallerService::CallerService(asio::any_io_executor executor, const DaemonSettings& settings, PlacementClient& placement,
-    RequestMetrics& metrics, std::string requestIdPrefix, UsageSink sink)
+CallerService::CallerService(asio::any_io_executor executor, const CallerDialect& dialect,
+    const DaemonSettings& settings, PlacementClient& placement, RequestMetrics& metrics, std::string requestIdPrefix,
+    UsageSink sink)
     : m_ownSettings(settings)
     , m_settings(settings)
-    , m_services { m_settings, placement, metrics, BackendPool(std::move(executor)), std::move(sink), {} }
+    , m_services { dialect, m_settings, placement, metrics, BackendPool(std::move(executor)), std::move(sink), {} }
     , m_requestIdPrefix(std::move(requestIdPrefix))
 {
     placement.setRevoked([this](const Revoke& it) { revoke(it); });
@@ -35,6 +36,9 @@
 {
     m_snapshot = std::move(snapshot);
     m_settings = applyInstallation(m_ownSettings, m_snapshot->configuration());
+    if (m_settings.finishesWithdrawnRequests) {
+        return;
+    }
     for (auto& runner : m_running) {
         const auto& digest = runner.keyDigest();
         if (digest.empty()) {
--- a/src/entry/CallerService.h
+++ b/src/entry/CallerService.h
@@ -9,8 +9,8 @@
 // Serves the callers' requests of one traffic thread. Owned by the thread's TrafficThread; used on that thread only.
 class CallerService {
 public:
-    // The usage sink may be empty.
-    CallerService(asio::any_io_executor, const DaemonSettings&, PlacementClient&, RequestMetrics&,
+    // The dialect outlives the service. The usage sink may be empty.
+    CallerService(asio::any_io_executor, const CallerDialect&, const DaemonSettings&, PlacementClient&, RequestMetrics&,
         std::string requestIdPrefix, UsageSink = {});
     ~CallerService();
 
--- a/src/entry/InstallationLimits.cpp
+++ b/src/entry/InstallationLimits.cpp
@@ -12,6 +12,8 @@
         settings.connectTimeout = installation->connectTimeout.value_or(settings.connectTimeout);
         settings.firstByteTimeout = installation->firstByteTimeout.value_or(settings.firstByteTimeout);
         settings.tokenGapTimeout = installation->tokenGapTimeout.value_or(settings.tokenGapTimeout);
+        settings.maxHeaderBytes = installation->maxHeaderBytes.value_or(settings.maxHeaderBytes);
+        settings.maxBodyBytes = installation->maxBodyBytes.value_or(settings.maxBodyBytes);
     }
     return settings;
 }
--- a/src/entry/RequestAdmission.cpp
+++ b/src/entry/RequestAdmission.cpp
@@ -199,6 +199,7 @@
         }
     }
     auto prompt = promptText(body);
+    request.resumable = request.streamed && request.idempotent;
     request.promptTokens = estimateTokens(prompt.size());
     request.prefix = hashPrefix(prompt);
     return true;
@@ -237,6 +238,8 @@
     if (equalsIgnoringCase(head.header("x-idempotent"), "false")) {
         request.idempotent = false;
     }
+    request.tier = request.classSpec->tier;
+    request.deadline = request.classSpec->deadline;
     request.method = head.method;
     request.target = head.target;
     request.forwarded = selectHeaders(head);
--- a/src/entry/RequestAdmission.h
+++ b/src/entry/RequestAdmission.h
@@ -15,6 +15,7 @@
     Completion,
     Models,
     Service,
+    EventStream, // a model's stream of numbered events
 };
 
 // The head of a request as it arrived, with header names in lower case. Trailers are not part of it.
@@ -38,12 +39,23 @@
     const TeamSpec* team = nullptr; // null on a route open to all
     const ClassSpec* classSpec = nullptr;
     bool idempotent = true;
+    // Whether a stream that broke may go on at another backend server after the last event that arrived.
+    bool resumable = false;
     TargetName targetName;
+    Tier tier; // of the class, or of the team where that replaces it
+    // The caller's own name of the request, which backend servers echo; empty when the entry names it.
+    std::string callerId;
+    // How long the caller waits, counted from the arrival of the head; the class's deadline when shorter.
+    Duration deadline {};
+    // Backend servers that the request may be sent to.
+    int maxAttempts = 3;
     // Set by admitBody().
     bool streamed = false;
     Tokens promptTokens;
     Tokens outputLimit;
     std::vector<PrefixBlock> prefix;
+    // Tokens of each part of the prefix; empty when all blocks are of one size.
+    std::vector<Tokens> prefixTokens;
 };
 
 // Authenticates and routes a request, searches its target and headers for the key, and picks the headers to forward.
@@ -58,6 +70,9 @@
     std::string_view requestId;
     Tier tier;
     Tokens resumeAfter; // 0 for a new answer
+    std::string_view lastEventId = {}; // of a stream of numbered events to resume; empty for a new answer
+    Duration remaining {}; // until the request's deadline
+    std::string_view server = {}; // id of the backend server that the request is for
     std::size_t bodyBytes = 0;
 };
 std::string formatBackendHead(const AdmittedRequest&, const BackendHead&);
--- a/src/entry/RequestConclusion.cpp
+++ b/src/entry/RequestConclusion.cpp
@@ -124,15 +124,8 @@
     if (action.code == CallerError::KeyWithdrawn) {
         m_exchange.closeAfter();
     }
-    HeaderList headers;
-    headers.emplace_back("x-request-id", m_id.value());
-    headers.emplace_back("x-lagoonspoke-run", toString(action.run));
-    if (action.retryAfter > Duration(0)) {
-        auto seconds = std::chrono::ceil<std::chrono::seconds>(action.retryAfter);
-        headers.emplace_back("retry-after", fmt::format("{}", seconds.count()));
-    }
-    auto status = http::int_to_status(httpStatusOf(action.code));
-    co_await m_exchange.respond(status, "application/json", formatErrorBody(action.code, action.run), headers);
+    auto answer = m_services.dialect.formatError({ action.code, action.run, backendId(), action.retryAfter });
+    co_await m_exchange.respond(answer.status, answer.contentType, std::move(answer.body), answer.headers);
     co_return std::nullopt;
 }
 
--- a/src/entry/RequestMachine.cpp
+++ b/src/entry/RequestMachine.cpp
@@ -14,8 +14,9 @@
 namespace {
 
 // A failing domain must not keep one request alive until its deadline.
-constexpr int maxSentAttempts = 3;
 constexpr int maxAttempts = 8;
+// After a server that was full; others may be less so.
+constexpr Duration declinedRetry = std::chrono::milliseconds(250);
 
 CallerError errorOf(RefusalCode code)
 {
@@ -96,6 +97,8 @@
         m_idempotent = event.idempotent;
         m_resumable = event.resumable;
         m_budget = event.budget;
+        m_maxSentAttempts = event.maxAttempts;
+        m_reusesConnection = event.reusesConnection;
         m_budget->countFresh();
         askForGrant();
     }
@@ -103,7 +106,7 @@
     {
         m_server = event.server;
         m_sentOnGrant = m_mayBeStale = false;
-        act(OpenConnection { !m_idempotent });
+        act(OpenConnection { !m_idempotent && !m_reusesConnection });
     }
     void refusePlacement(const PlacementRefused& event) { end(errorOf(event.code), event.retryAfter); }
     void send(const Connected& event)
@@ -141,6 +144,20 @@
         }
         askForGrant();
     }
+    void retryDeclined(const AnswerStarted&)
+    {
+        m_written = m_wasWritten;
+        act(ReleaseGrant { FinishOutcome::Declined });
+        m_excluded.push_back(m_server);
+        m_budget->take();
+        askForGrant();
+    }
+    void endDeclined(const AnswerStarted&)
+    {
+        m_written = m_wasWritten;
+        act(ReleaseGrant { FinishOutcome::Declined });
+        end(CallerError::Overloaded, declinedRetry);
+    }
     void retryServerError(const AnswerStarted&)
     {
         act(ReleaseGrant { FinishOutcome::ServerFailed });
@@ -202,12 +219,17 @@
     }
     bool isRepeatable(const AnswerStarted& event)
     {
-        return isServerError(event.status) && !m_callerReached && canMove() && mayRepeat();
+        return !event.notRun && isServerError(event.status) && !m_callerReached && canMove() && mayRepeat();
+    }
+    bool isFinal(const AnswerStarted& event) { return !event.notRun && !isRepeatable(event); }
+    bool isDeclined(const AnswerStarted& event)
+    {
+        return event.notRun && m_attempts < maxAttempts && (!m_callerReached || m_resumable) && m_budget->hasCredit();
     }
-    bool isFinal(const AnswerStarted& event) { return !isRepeatable(event); }
+    bool isDeclinedAtLast(const AnswerStarted& event) { return event.notRun && !isDeclined(event); }
 
     // Helpers.
-    bool mayRepeat() const { return m_sentFailures + 1 < maxSentAttempts && m_budget->hasCredit(); }
+    bool mayRepeat() const { return m_sentFailures + 1 < m_maxSentAttempts && m_budget->hasCredit(); }
     bool canMove() const
     {
         bool sent = m_state >= RequestState::Send;
@@ -264,6 +286,8 @@
               row<Send, AttemptFailed, Finish, &D::fail, &D::cannotRetry>,
               row<AwaitFirstByte, AnswerStarted, Stream, &D::relay, &D::isFinal>,
               row<AwaitFirstByte, AnswerStarted, AwaitGrant, &D::retryServerError, &D::isRepeatable>,
+              row<AwaitFirstByte, AnswerStarted, AwaitGrant, &D::retryDeclined, &D::isDeclined>,
+              row<AwaitFirstByte, AnswerStarted, Finish, &D::endDeclined, &D::isDeclinedAtLast>,
               row<AwaitFirstByte, AttemptFailed, AwaitGrant, &D::retry, &D::canRetry>,
               row<AwaitFirstByte, AttemptFailed, Connect, &D::reconnect, &D::isStale>,
               row<AwaitFirstByte, AttemptFailed, Finish, &D::fail, &D::cannotRetry>,
@@ -285,8 +309,10 @@
     BackendServerId m_server;
     int m_attempts = 0;
     int m_sentFailures = 0;
+    int m_maxSentAttempts = 3;
     bool m_idempotent = true;
     bool m_resumable = false;
+    bool m_reusesConnection = false;
     bool m_callerReached = false;
     bool m_written = false; // some byte may have been written in any attempt
     bool m_wasWritten = false; // the same before the current attempt
--- a/src/entry/RequestMachine.h
+++ b/src/entry/RequestMachine.h
@@ -38,6 +38,10 @@
     // Whether a model engine can continue the answer after the tokens already sent.
     bool resumable = false;
     RetryBudget* budget = nullptr; // of the request's domain; outlives the machine
+    // Backend servers that may run the request, or may have run it.
+    int maxAttempts = 3;
+    // Whether a kept connection may carry the request although it cannot be repeated.
+    bool reusesConnection = false;
 };
 struct Granted {
     BackendServerId server;
@@ -54,6 +58,8 @@
 // The head of an answer to this very request arrived.
 struct AnswerStarted {
     unsigned status = 200;
+    // The server says that it did not run the request.
+    bool notRun = false;
 };
 // The next write gives the first bytes of the answer to the caller.
 struct CallerReached { };
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -6,6 +6,7 @@
 
 #include "entry/Prompt.h"
 #include "lagoonspoke/core/Overload.h"
+#include "observe/LogLine.h"
 
 namespace lagoonspoke {
 
@@ -176,7 +177,7 @@
 
 void RequestRunner::startDeadline()
 {
-    m_deadline.expires_after(m_request.classSpec->deadline - (readMonotonicClock() - m_arrival));
+    m_deadline.expires_after(m_request.deadline - (readMonotonicClock() - m_arrival));
     m_deadline.async_wait([self = m_self](error_code ec) {
         // A response that has started is bounded by the time between its tokens instead.
         if (!ec && *self && !(*self)->m_machine.callerReached()) {
@@ -199,7 +200,7 @@
     if (m_machine.callerReached()) {
         return m_services.settings.grantTimeout;
     }
-    return std::max(Duration(0), m_request.classSpec->deadline - (readMonotonicClock() - m_arrival));
+    return std::max(Duration(0), m_request.deadline - (readMonotonicClock() - m_arrival));
 }
 
 RequestRunner::Next RequestRunner::authenticate()
@@ -210,7 +211,7 @@
     if (!m_snapshot) {
         co_return Stopped { CallerError::NotReady };
     }
-    auto admitted = admitHead(*m_snapshot, copyHead(m_exchange));
+    auto admitted = m_services.dialect.admitHead(*m_snapshot, copyHead(m_exchange));
     if (!admitted) {
         co_return Stopped { admitted.error() };
     }
@@ -231,7 +232,7 @@
     if (!body) {
         co_return Stopped { errorOf(body.error().code) };
     }
-    if (auto checked = admitBody(*m_snapshot, m_request, *body); !checked) {
+    if (auto checked = m_services.dialect.admitBody(*m_snapshot, m_request, *body); !checked) {
         co_return Stopped { checked.error() };
     }
     if (m_request.kind == RouteKind::Models) {
@@ -243,8 +244,9 @@
     m_fingerprint = fingerprintOf(team(), m_request.target, m_body);
     startDeadline();
     watchCaller();
-    bool resumable = m_request.kind == RouteKind::Completion && m_request.streamed && m_request.idempotent;
-    co_return BodyRead { m_request.idempotent, resumable, &m_services.budgets[m_domain] };
+    bool isModel = m_request.kind != RouteKind::Service;
+    co_return BodyRead { m_request.idempotent, m_request.resumable, &m_services.budgets[m_domain],
+        m_request.maxAttempts, isModel };
 }
 
 asio::awaitable<void> RequestRunner::respondModels()
@@ -267,10 +269,11 @@
     place.domain = m_domain;
     place.team = team();
     place.className = m_request.classSpec->name;
-    place.tier = m_request.classSpec->tier;
+    place.tier = m_request.tier;
     place.promptTokens = m_request.promptTokens;
     place.outputLimit = m_request.outputLimit;
     place.prefix = m_request.prefix;
+    place.prefixTokens = m_request.prefixTokens;
     place.idempotent = m_request.idempotent;
     place.fingerprint = m_fingerprint;
     place.remaining = remaining();
@@ -321,11 +324,15 @@
 
 RequestRunner::Next RequestRunner::sendRequest()
 {
-    BackendHead head { m_grant->address, m_id.value(), m_request.classSpec->tier, {}, m_body.size() };
+    BackendHead head { m_grant->address, backendId(), m_request.tier, {} };
+    head.bodyBytes = m_body.size();
+    head.remaining = remaining();
+    head.server = m_grant->server.value();
     if (m_machine.callerReached()) {
         head.resumeAfter = m_relay.tokens().output();
+        head.lastEventId = m_relay.lastEventId();
     }
-    auto text = formatBackendHead(m_request, head);
+    auto text = m_services.dialect.formatBackendHead(m_request, head);
     std::size_t written = 0;
     m_wait = Wait::Backend;
     auto ec = co_await m_connection->send(text, m_body, written, m_services.settings.writeTimeout);
@@ -338,33 +345,55 @@
     co_return RequestSent {};
 }
 
-bool RequestRunner::isExpectedHead() const
+bool RequestRunner::isExpectedAnswer(const BackendAnswer& answer) const
 {
-    const auto& head = m_connection->head();
-    bool echoed = head.count("x-request-id") == 1 && head["x-request-id"] == m_id.value();
+    if (!answer.usable || answer.requestId != backendId()) {
+        return false;
+    }
     // Once a stream has started, nothing but its continuation fits.
-    bool continues = !m_machine.callerReached()
+    const auto& head = m_connection->head();
+    return !m_machine.callerReached()
         || (head.result() == http::status::ok && head[http::field::content_type].starts_with("text/event-stream"));
-    return echoed && continues;
 }
 
 RequestRunner::Next RequestRunner::awaitAnswer()
 {
-    m_wait = Wait::Backend;
-    auto ec = co_await m_connection->readHead(m_exchange.isHead(), m_services.settings.firstByteTimeout);
-    m_wait = Wait::Nothing;
-    if (ec) {
-        co_return AttemptFailed { failureOf(ec) };
-    }
-    if (!isExpectedHead()) {
-        co_return AttemptFailed { AttemptFailure::Protocol };
+    // Bounds the late answers to earlier requests that are skipped.
+    constexpr int mostSkipped = 4;
+    for (int i = 0; i <= mostSkipped; ++i) {
+        m_wait = Wait::Backend;
+        auto ec = co_await m_connection->readHead(m_exchange.isHead(), m_services.settings.firstByteTimeout);
+        m_wait = Wait::Nothing;
+        if (ec) {
+            co_return AttemptFailed { failureOf(ec) };
+        }
+        auto answer = m_services.dialect.readAnswer(m_connection->head());
+        if (!answer.requestId.empty() && answer.requestId != backendId() && m_connection->reused()) {
+            LogLine(LogLevel::Info, "late_answer_skipped").add("request", m_id.value()).add("answers", answer.requestId);
+            m_wait = Wait::Backend;
+            bool skipped = co_await m_connection->skipAnswer(m_services.settings.tokenGapTimeout);
+            m_wait = Wait::Nothing;
+            if (!skipped) {
+                co_return AttemptFailed { AttemptFailure::Protocol };
+            }
+            continue;
+        }
+        auto status = m_connection->head().result_int();
+        if (answer.execution != BackendAnswer::Execution::Ran) {
+            co_return AnswerStarted { status, true };
+        }
+        if (!isExpectedAnswer(answer)) {
+            co_return AttemptFailed { AttemptFailure::Protocol };
+        }
+        m_relay.setHeaders(std::move(answer.headers));
+        co_return AnswerStarted { status };
     }
-    co_return AnswerStarted { m_connection->head().result_int() };
+    co_return AttemptFailed { AttemptFailure::Protocol };
 }
 
 RequestRunner::Next RequestRunner::relayAnswer()
 {
-    co_return co_await m_relay.relay(*m_connection, m_request, m_id);
+    co_return co_await m_relay.relay(*m_connection, m_request);
 }
 
 } // namespace lagoonspoke
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -9,6 +9,7 @@
 
 #include "entry/AnswerRelay.h"
 #include "entry/BackendPool.h"
+#include "entry/CallerDialect.h"
 #include "entry/PlacementClient.h"
 #include "http/CallerWatch.h"
 #include "lagoonspoke/usage/UsageRecord.h"
@@ -22,6 +23,7 @@
 
 // What the requests of one traffic thread share. Owned by the CallerService.
 struct EntryServices {
+    const CallerDialect& dialect;
     const DaemonSettings& settings;
     PlacementClient& placement;
     RequestMetrics& metrics;
@@ -77,7 +79,9 @@
     void interrupt(RequestEvent);
     void startDeadline();
     void watchCaller();
-    bool isExpectedHead() const;
+    bool isExpectedAnswer(const BackendAnswer&) const;
+    // The id that backend servers echo.
+    const std::string& backendId() const { return m_request.callerId.empty() ? m_id.value() : m_request.callerId; }
     PlaceRequest makePlaceRequest(const AskForGrant&) const;
     Duration remaining() const;
     Progress makeProgress() const;
--- a/src/entry/TokenCounter.h
+++ b/src/entry/TokenCounter.h
@@ -19,6 +19,8 @@
     };
 
     EventKind observe(std::string_view sseEvent);
+    // Counts an event of a stream whose events say nothing else.
+    void countEvent() { m_output += Tokens { 1 }; }
     // Reads the usage object of a whole JSON answer.
     void observeBody(std::string_view json);
     // A new attempt continues after the tokens counted so far.
--- /dev/null
+++ b/src/external/CollectionDirectory.cpp
@@ -0,0 +1,193 @@
+#include "external/CollectionDirectory.h"
+
+#include <set>
+
+#include <boost/json.hpp>
+
+#include "observe/LogLine.h"
+#include "settings/JsonReader.h"
+
+namespace lagoonspoke {
+
+namespace {
+
+constexpr std::string_view instancePrefix = "instance/";
+
+std::string encodeInstance(const Member& member)
+{
+    return boost::json::serialize(boost::json::object { { "data_centre", member.dataCentre.value() },
+        { "region", member.region.value() }, { "peer_address", member.peerAddress } });
+}
+
+Outcome<Member> decodeInstance(const CollectionItem& item)
+{
+    auto value = parseJson(item.value);
+    if (!value) {
+        return tl::make_unexpected(value.error());
+    }
+    std::vector<Error> errors;
+    JsonReader reader(*value, item.name, errors);
+    Member member;
+    member.id = InstanceId(item.name);
+    member.dataCentre = DataCentreId(reader.readString("data_centre"));
+    member.region = RegionId(reader.readString("region"));
+    member.peerAddress = reader.readString("peer_address");
+    if (!errors.empty()) {
+        return makeError(ErrorCode::ProtocolViolation, formatErrors(errors));
+    }
+    return member;
+}
+
+} // namespace
+
+struct CollectionDirectory::State {
+    State(asio::io_context& io, Options directoryOptions, ObjectCollectionPtr collection, ObjectStorePtr objectStore,
+        Sink directorySink)
+        : timer(io)
+        , registrationTimer(io)
+        , options(std::move(directoryOptions))
+        , instances(std::move(collection))
+        , store(std::move(objectStore))
+        , sink(std::move(directorySink))
+    {
+    }
+
+    asio::steady_timer timer;
+    asio::steady_timer registrationTimer;
+    Options options;
+    ObjectCollectionPtr instances;
+    ObjectStorePtr store;
+    Sink sink;
+    std::set<std::string> unreadable; // entries that were logged
+    bool stopped = false;
+
+    void applyServers(const std::map<std::string, std::string>&, const DecodeServer&);
+    void applyInstances(const CollectionList&) const;
+    static asio::awaitable<void> listInstances(std::shared_ptr<State>);
+    static asio::awaitable<void> registerSelf(std::shared_ptr<State>);
+    static asio::awaitable<bool> writeSelf(const State&);
+};
+
+CollectionDirectory::CollectionDirectory(Options options, ObjectCollectionPtr servers, DecodeServer decode,
+    ObjectCollectionPtr instances, ObjectStorePtr store)
+    : m_options(std::move(options))
+    , m_servers(std::move(servers))
+    , m_decode(std::move(decode))
+    , m_instances(std::move(instances))
+    , m_store(std::move(store))
+{
+}
+
+CollectionDirectory::~CollectionDirectory()
+{
+    stop();
+}
+
+void CollectionDirectory::start(asio::io_context& io, const std::string& peerAddress, Sink sink)
+{
+    m_options.self.peerAddress = peerAddress;
+    m_state = std::make_shared<State>(io, m_options, m_instances, m_store, std::move(sink));
+    CollectionWatcher::Callbacks callbacks;
+    callbacks.updated = [this](const auto& items) { m_state->applyServers(items, m_decode); };
+    m_watcher = std::make_unique<CollectionWatcher>(
+        io, "servers", m_servers, m_options.follower, std::move(callbacks));
+    m_watcher->start();
+    asio::co_spawn(io, State::registerSelf(m_state), asio::detached);
+    asio::co_spawn(io, State::listInstances(m_state), asio::detached);
+}
+
+void CollectionDirectory::stop()
+{
+    if (m_state) {
+        m_state->stopped = true;
+        m_state->timer.cancel();
+        m_state->registrationTimer.cancel();
+        m_watcher->stop();
+    }
+}
+
+void CollectionDirectory::State::applyServers(
+    const std::map<std::string, std::string>& items, const DecodeServer& decode)
+{
+    std::vector<BackendServer> servers;
+    for (const auto& [name, value] : items) {
+        auto server = decode(name, value);
+        if (!server) {
+            if (unreadable.insert(name).second) {
+                LogLine(LogLevel::Warning, "server_entry_unreadable")
+                    .add("entry", name)
+                    .add("error", server.error().message);
+            }
+        } else if (*server) {
+            servers.push_back(std::move(**server));
+        }
+    }
+    std::erase_if(unreadable, [&](const std::string& name) { return !items.contains(name); });
+    sink.servers(std::move(servers));
+}
+
+void CollectionDirectory::State::applyInstances(const CollectionList& list) const
+{
+    std::vector<Member> members;
+    for (const auto& item : list.items) {
+        if (auto member = decodeInstance(item)) {
+            members.push_back(std::move(*member));
+        } else {
+            LogLine(LogLevel::Warning, "instance_entry_unreadable")
+                .add("entry", item.name)
+                .add("error", member.error().message);
+        }
+    }
+    sink.instances(std::move(members));
+}
+
+asio::awaitable<void> CollectionDirectory::State::listInstances(std::shared_ptr<State> self)
+{
+    bool first = true;
+    while (!self->stopped) {
+        // The first list finds those that registered a moment ago.
+        auto list = co_await self->instances->list(!first);
+        if (self->stopped) {
+            break;
+        }
+        if (list) {
+            self->applyInstances(*list);
+            first = false;
+        }
+        self->timer.expires_after(list ? self->options.instanceInterval : self->options.registrationRetry);
+        co_await self->timer.async_wait(useTuple);
+    }
+}
+
+asio::awaitable<bool> CollectionDirectory::State::writeSelf(const State& self)
+{
+    auto key = std::string(instancePrefix) + self.options.self.id.value();
+    auto value = encodeInstance(self.options.self);
+    auto created = co_await self.store->create(key, value);
+    if (created || created.error().code != ErrorCode::Conflict) {
+        co_return created.has_value();
+    }
+    auto present = co_await self.store->get(key);
+    if (!present) {
+        co_return false;
+    }
+    if (present->value == value) {
+        co_return true;
+    }
+    auto updated = co_await self.store->update(std::move(key), std::move(value), present->version);
+    co_return updated.has_value();
+}
+
+asio::awaitable<void> CollectionDirectory::State::registerSelf(std::shared_ptr<State> self)
+{
+    while (!self->stopped) {
+        bool written = co_await writeSelf(*self);
+        if (written) {
+            break;
+        }
+        self->registrationTimer.expires_after(self->options.registrationRetry);
+        co_await self->registrationTimer.async_wait(useTuple);
+    }
+}
+
+} // namespace lagoonspoke
--- /dev/null
+++ b/src/external/CollectionDirectory.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "external/CollectionWatcher.h"
+#include "external/InstanceDirectory.h"
+#include "external/ObjectStore.h"
+
+namespace lagoonspoke {
+
+// Finds the backend servers in a collection of the store that they keep themselves, and the other instances through
+// objects of this product's own, "instance/NAME". Owned by PeerService.
+class CollectionDirectory final : public InstanceDirectory {
+public:
+    struct Options {
+        Member self; // without a peer address
+        CollectionFollower::Options follower;
+        // Instances hear of each other by membership messages; the list only finds those that no message reached.
+        Duration instanceInterval = std::chrono::seconds(5);
+        Duration registrationRetry = std::chrono::milliseconds(500);
+    };
+    // Nothing for an entry that names no usable server; an error for one that cannot be read.
+    using DecodeServer
+        = std::function<Outcome<std::optional<BackendServer>>(const std::string& name, const std::string& value)>;
+
+    CollectionDirectory(
+        Options, ObjectCollectionPtr servers, DecodeServer, ObjectCollectionPtr instances, ObjectStorePtr);
+    ~CollectionDirectory() override;
+
+    void start(asio::io_context&, const std::string& peerAddress, Sink) override;
+    void stop() override;
+
+private:
+    struct State;
+
+    Options m_options;
+    ObjectCollectionPtr m_servers;
+    DecodeServer m_decode;
+    ObjectCollectionPtr m_instances;
+    ObjectStorePtr m_store;
+    std::unique_ptr<CollectionWatcher> m_watcher;
+    // Shared with the coroutines of calls, which end some time after stop().
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace lagoonspoke
--- /dev/null
+++ b/src/external/CollectionFollower.cpp
@@ -0,0 +1,149 @@
+#include "external/CollectionFollower.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lagoonspoke {
+
+CollectionFollower::CollectionFollower(Options options)
+    : m_options(options)
+{
+}
+
+std::vector<CollectionAction> CollectionFollower::start(MonotonicTime)
+{
+    m_actions.emplace_back(ListCollection {});
+    return std::exchange(m_actions, {});
+}
+
+std::vector<CollectionAction> CollectionFollower::handle(CollectionEvent event, MonotonicTime now)
+{
+    std::visit([&](auto& it) { take(std::move(it), now); }, event);
+    dropOverdue(now);
+    return std::exchange(m_actions, {});
+}
+
+std::vector<CollectionAction> CollectionFollower::advance(MonotonicTime now)
+{
+    if (m_retryAt && *m_retryAt <= now) {
+        m_retryAt.reset();
+        m_actions.emplace_back(ListCollection {});
+    }
+    dropOverdue(now);
+    return std::exchange(m_actions, {});
+}
+
+std::optional<MonotonicTime> CollectionFollower::nextWakeup() const
+{
+    auto next = m_retryAt;
+    for (const auto& [name, until] : m_missing) {
+        next = std::min(next.value_or(until), until);
+    }
+    return next;
+}
+
+void CollectionFollower::noteAnswer(MonotonicTime now)
+{
+    m_retryDelay = {};
+    if (!m_reachable) {
+        m_reachable = true;
+        m_returnedAt = now;
+        m_actions.emplace_back(CollectionReachable { true });
+    }
+}
+
+void CollectionFollower::take(CollectionListed listed, MonotonicTime now)
+{
+    noteAnswer(now);
+    std::set<std::string> names;
+    for (auto& item : listed.list.items) {
+        names.insert(item.name);
+        put(std::move(item));
+    }
+    std::vector<std::string> missing;
+    for (const auto& [name, value] : m_items) {
+        if (!names.contains(name)) {
+            missing.push_back(name);
+        }
+    }
+    for (const auto& name : missing) {
+        remove(name, now);
+    }
+    m_changed = m_changed || !m_known;
+    m_known = true;
+    m_revision = listed.list.revision;
+    watch();
+}
+
+void CollectionFollower::take(CollectionWatched watched, MonotonicTime now)
+{
+    noteAnswer(now);
+    for (auto& change : watched.changes.changes) {
+        if (change.removed) {
+            remove(change.item.name, now);
+        } else {
+            put(std::move(change.item));
+        }
+    }
+    m_revision = watched.changes.revision;
+    watch();
+}
+
+void CollectionFollower::take(const CollectionHistoryLost&, MonotonicTime now)
+{
+    noteAnswer(now);
+    m_actions.emplace_back(ListCollection {});
+}
+
+void CollectionFollower::take(const CollectionCallFailed&, MonotonicTime now)
+{
+    if (std::exchange(m_reachable, false)) {
+        m_actions.emplace_back(CollectionReachable { false });
+    }
+    m_retryDelay = std::clamp(m_retryDelay * 2, m_options.firstRetry, m_options.longestRetry);
+    m_retryAt = now + m_retryDelay;
+}
+
+void CollectionFollower::put(CollectionItem item)
+{
+    m_missing.erase(item.name);
+    auto [it, created] = m_items.try_emplace(std::move(item.name));
+    if (created || it->second != item.value) {
+        it->second = std::move(item.value);
+        m_changed = true;
+    }
+}
+
+void CollectionFollower::remove(const std::string& name, MonotonicTime now)
+{
+    if (m_returnedAt && now < *m_returnedAt + m_options.returnGrace) {
+        m_missing.emplace(name, *m_returnedAt + m_options.returnGrace);
+        return;
+    }
+    if (m_items.erase(name) > 0) {
+        m_missing.erase(name);
+        m_changed = true;
+    }
+}
+
+void CollectionFollower::watch()
+{
+    m_actions.emplace_back(WatchCollection { m_revision, m_options.watchWait });
+}
+
+void CollectionFollower::dropOverdue(MonotonicTime now)
+{
+    for (auto it = m_missing.begin(); it != m_missing.end();) {
+        if (it->second > now || !m_reachable) {
+            ++it;
+            continue;
+        }
+        m_changed = m_items.erase(it->first) > 0 || m_changed;
+        it = m_missing.erase(it);
+    }
+    if (std::exchange(m_changed, false)) {
+        m_actions.emplace_back(CollectionUpdated {});
+    }
+}
+
+} // namespace lagoonspoke
--- /dev/null
+++ b/src/external/CollectionFollower.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "external/ObjectCollection.h"
+
+namespace lagoonspoke {
+
+struct CollectionListed {
+    CollectionList list;
+};
+struct CollectionWatched {
+    CollectionChanges changes;
+};
+// The history since the watched revision is gone.
+struct CollectionHistoryLost { };
+struct CollectionCallFailed {
+    Error error;
+};
+
+using CollectionEvent
+    = std::variant<CollectionListed, CollectionWatched, CollectionHistoryLost, CollectionCallFailed>;
+
+struct ListCollection { };
+struct WatchCollection {
+    std::uint64_t revision = 0;
+    Duration wait {};
+};
+// The items differ from those told last.
+struct CollectionUpdated { };
+// The store does not answer, or answers again.
+struct CollectionReachable {
+    bool reachable = true;
+};
+
+using CollectionAction = std::variant<ListCollection, WatchCollection, CollectionUpdated, CollectionReachable>;
+
+// Keeps the items of a collection current by a list and watches from then on. Items that were removed while the store
+// was away are kept for a moment after its return, as their writers come back. One call runs at a time. Pure; owned by
+// a CollectionWatcher.
+class CollectionFollower {
+public:
+    struct Options {
+        Duration watchWait = std::chrono::seconds(20);
+        Duration firstRetry = std::chrono::milliseconds(100);
+        Duration longestRetry = std::chrono::milliseconds(800);
+        // Items that the store lost while it was away are back within this time of its return, if their writers live.
+        Duration returnGrace = std::chrono::milliseconds(2300);
+    };
+
+    explicit CollectionFollower(Options);
+
+    std::vector<CollectionAction> start(MonotonicTime now);
+    std::vector<CollectionAction> handle(CollectionEvent, MonotonicTime now);
+    std::vector<CollectionAction> advance(MonotonicTime now);
+    std::optional<MonotonicTime> nextWakeup() const;
+
+    const std::map<std::string, std::string>& items() const { return m_items; }
+    // Whether the collection was read at least once.
+    bool isKnown() const { return m_known; }
+    std::uint64_t revision() const { return m_revision; }
+
+private:
+    void take(CollectionListed, MonotonicTime now);
+    void take(CollectionWatched, MonotonicTime now);
+    void take(const CollectionHistoryLost&, MonotonicTime now);
+    void take(const CollectionCallFailed&, MonotonicTime now);
+    void noteAnswer(MonotonicTime now);
+    void put(CollectionItem);
+    void remove(const std::string& name, MonotonicTime now);
+    void watch();
+    void dropOverdue(MonotonicTime now);
+
+    Options m_options;
+    std::map<std::string, std::string> m_items;
+    std::map<std::string, MonotonicTime> m_missing; // items that are kept until then
+    std::vector<CollectionAction> m_actions;
+    std::uint64_t m_revision = 0;
+    bool m_known = false;
+    bool m_reachable = true;
+    bool m_changed = false;
+    std::optional<MonotonicTime> m_returnedAt; // of the store, after it was away
+    std::optional<MonotonicTime> m_retryAt;
+    Duration m_retryDelay {};
+};
+
+} // namespace lagoonspoke
--- a/src/platform/EngineClient.cpp
+++ b/src/external/EngineClient.cpp
@@ -1,4 +1,4 @@
-#include "platform/EngineClient.h"
+#include "external/EngineClient.h"
 
 #include <fmt/format.h>
 
--- a/src/platform/EngineClientTest.cpp
+++ b/src/external/EngineClientTest.cpp
@@ -1,8 +1,8 @@
-#include "platform/EngineClient.h"
+#include "external/EngineClient.h"
 
 #include <catch2/catch.hpp>
 
-#include "platform/InstanceListClient.h"
+#include "external/InstanceListClient.h"
 
 namespace lagoonspoke {
 
--- a/src/platform/FleetClient.cpp
+++ b/src/external/FleetClient.cpp
@@ -1,4 +1,4 @@
-#include "platform/FleetClient.h"
+#include "external/FleetClient.h"
 
 #include <boost/json.hpp>
 #include <fmt/format.h>
--- /dev/null
+++ b/src/external/InstanceDirectory.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "http/Asio.h"
+#include "lagoonspoke/dispatch/BackendServer.h"
+#include "lagoonspoke/membership/Member.h"
+
+namespace lagoonspoke {
+
+// Tells which instances and backend servers there are, some time ago. Owned by PeerService; used on the control thread
+// only.
+class InstanceDirectory {
+public:
+    // Each is called with a whole new list. Members have no incarnation.
+    struct Sink {
+        std::function<void(std::vector<Member>)> instances;
+        std::function<void(std::vector<BackendServer>)> servers;
+    };
+
+    virtual ~InstanceDirectory() = default;
+
+    // The address is that of this instance for its peers.
+    virtual void start(asio::io_context&, const std::string& peerAddress, Sink) = 0;
+    // Calls the sink no more.
+    virtual void stop() = 0;
+};
+
+using InstanceDirectoryPtr = std::shared_ptr<InstanceDirectory>;
+
+} // namespace lagoonspoke
--- a/src/platform/InstanceListClient.cpp
+++ b/src/external/InstanceListClient.cpp
@@ -1,4 +1,4 @@
-#include "platform/InstanceListClient.h"
+#include "external/InstanceListClient.h"
 
 #include <fmt/format.h>
 
--- a/src/platform/LeaseCodec.cpp
+++ b/src/external/LeaseCodec.cpp
@@ -1,4 +1,4 @@
-#include "platform/LeaseCodec.h"
+#include "external/LeaseCodec.h"
 
 #include <boost/json.hpp>
 
--- a/src/platform/ObjectStoreClient.cpp
+++ b/src/external/ObjectStoreClient.cpp
@@ -1,4 +1,4 @@
-#include "platform/ObjectStoreClient.h"
+#include "external/ObjectStoreClient.h"
 
 #include <fmt/format.h>
 
@@ -95,15 +95,6 @@
     co_return co_await put(std::move(key), std::move(value), std::move(condition));
 }
 
-asio::awaitable<Outcome<std::uint64_t>> ObjectStoreClient::write(
-    std::string key, std::string value, std::optional<std::uint64_t> version) const
-{
-    if (version) {
-        co_return co_await update(std::move(key), std::move(value), *version);
-    }
-    co_return co_await create(std::move(key), std::move(value));
-}
-
 asio::awaitable<Outcome<std::uint64_t>> ObjectStoreClient::put(
     std::string key, std::string value, HeaderList condition) const
 {
--- a/src/platform/OrderLogCodec.cpp
+++ b/src/external/OrderLogCodec.cpp
@@ -1,4 +1,4 @@
-#include "platform/OrderLogCodec.h"
+#include "external/OrderLogCodec.h"
 
 #include <boost/json.hpp>
 
--- a/src/platform/StoreHarnessTest.h
+++ b/src/external/StoreHarnessTest.h
@@ -5,7 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "http/HttpServer.h"
-#include "platform/ObjectStoreClient.h"
+#include "external/ObjectStoreClient.h"
 #include "standins/StoreStandin.h"
 
 namespace lagoonspoke::test {
--- a/src/platform/TicketSubmitter.cpp
+++ b/src/external/TicketSubmitter.cpp
@@ -1,4 +1,4 @@
-#include "platform/TicketSubmitter.h"
+#include "external/TicketSubmitter.h"
 
 #include <set>
 
--- a/src/platform/TicketSubmitter.h
+++ b/src/external/TicketSubmitter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "config/TicketSubmission.h"
-#include "platform/ObjectStoreClient.h"
+#include "external/ObjectStoreClient.h"
 
 namespace lagoonspoke {
 
--- a/src/platform/TicketSubmitterTest.cpp
+++ b/src/external/TicketSubmitterTest.cpp
@@ -1,8 +1,8 @@
-#include "platform/TicketSubmitter.h"
+#include "external/TicketSubmitter.h"
 
 #include <fmt/format.h>
 
-#include "platform/StoreHarnessTest.h"
+#include "external/StoreHarnessTest.h"
 
 namespace lagoonspoke {
 
--- a/src/platform/UsageClient.cpp
+++ b/src/external/UsageClient.cpp
@@ -1,4 +1,4 @@
-#include "platform/UsageClient.h"
+#include "external/UsageClient.h"
 
 #include <boost/json.hpp>
 #include <fmt/format.h>
@@ -17,15 +17,16 @@
     HttpCall call;
     call.method = "POST";
     call.target = "/v1/reports";
+    const auto& [team, figures] = *report.teams.begin();
     boost::json::object body {
         { "window", report.window },
-        { "team", report.team.value() },
+        { "team", team.value() },
         { "report_id", report.id },
         { "fencing_token", static_cast<std::uint64_t>(report.token) },
         { "sender", m_sender },
-        { "requests", report.figures.requests },
-        { "prompt_tokens", report.figures.promptTokens },
-        { "output_tokens", report.figures.outputTokens },
+        { "requests", figures.requests },
+        { "prompt_tokens", figures.promptTokens },
+        { "output_tokens", figures.outputTokens },
     };
     call.body = boost::json::serialize(body);
     auto reply = co_await callHttp(m_endpoint, std::move(call), m_bound);
--- a/src/platform/WeightStoreClient.cpp
+++ b/src/external/WeightStoreClient.cpp
@@ -1,4 +1,4 @@
-#include "platform/WeightStoreClient.h"
+#include "external/WeightStoreClient.h"
 
 #include <fmt/format.h>
 
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -10,6 +10,7 @@
     int status = 0;
     std::string body;
     HeaderList headers; // names in lower case
+    bool keepAlive = false; // whether the connection can carry another call
 
     // The header's value, or an empty string.
     std::string_view header(std::string_view lowerCaseName) const;
@@ -27,4 +28,8 @@
 asio::awaitable<Outcome<HttpReply>> callHttp(
     tcp::endpoint, HttpCall, std::chrono::nanoseconds bound, std::size_t maxReplyBytes = 16 << 20);
 
+// The same on an open connection, which stays open if the reply allows it. The buffer keeps what was read too far.
+asio::awaitable<Outcome<HttpReply>> callOn(beast::tcp_stream&, beast::flat_buffer&, tcp::endpoint, HttpCall,
+    std::chrono::nanoseconds bound, std::size_t maxReplyBytes);
+
 } // namespace lagoonspoke
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -37,6 +37,8 @@
         std::chrono::nanoseconds idleTimeout = std::chrono::seconds(60);
         std::chrono::nanoseconds readTimeout = std::chrono::seconds(10);
         std::chrono::nanoseconds writeTimeout = std::chrono::seconds(10);
+        // Whether a connection without a request in time gets an error before it closes.
+        bool answersIdleTimeout = true;
     };
     using Parser = http::request_parser<http::string_body>;
 
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -270,7 +270,7 @@
     if (!isQuiet(stream.socket())) {
         co_return true;
     }
-    if (bound.expired()) {
+    if (bound.expired() && state.options.limits.answersIdleTimeout) {
         co_await reject(stream, CallerError::IdleTimeout);
     }
     co_return false;
--- a/src/http/SseReader.cpp
+++ b/src/http/SseReader.cpp
@@ -53,6 +53,24 @@
     m_position = m_scanned = 0;
 }
 
+std::string_view eventIdOf(std::string_view event)
+{
+    std::string_view id;
+    while (!event.empty()) {
+        auto end = event.find('\n');
+        auto line = event.substr(0, end);
+        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        if (line.starts_with("id:")) {
+            id = line.substr(3);
+            id.remove_prefix(std::min(id.find_first_not_of(' '), id.size()));
+        }
+    }
+    return id;
+}
+
 std::string dataOf(std::string_view event)
 {
     std::string data;
--- a/src/http/SseReader.h
+++ b/src/http/SseReader.h
@@ -32,6 +32,9 @@
     std::size_t m_scanned = 0;
 };
 
+// The value of the event's last id line; empty when it has none.
+std::string_view eventIdOf(std::string_view event);
+
 // The text of the event's data lines joined by newlines; empty when it has none.
 std::string dataOf(std::string_view event);
 
--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -61,6 +61,18 @@
     settings.usageWindow = reader.readMilliseconds("usage_window_ms", 100ms, 1h, settings.usageWindow);
 }
 
+void readConventions(JsonReader& reader, DaemonSettings& settings)
+{
+    settings.acceptsUnframedAnswers = reader.readBool("accepts_unframed_answers", settings.acceptsUnframedAnswers);
+    settings.finishesWithdrawnRequests
+        = reader.readBool("finishes_withdrawn_requests", settings.finishesWithdrawnRequests);
+    settings.refusesKeysWhenIsolated
+        = reader.readBool("refuses_keys_when_isolated", settings.refusesKeysWhenIsolated);
+    settings.answersIdleTimeout = reader.readBool("answers_idle_timeout", settings.answersIdleTimeout);
+    settings.leaseTerm = reader.readMilliseconds("lease_term_ms", 1s, 1min, settings.leaseTerm);
+    settings.usageReportBound = reader.readMilliseconds("usage_report_bound_ms", 1s, 1h, settings.usageReportBound);
+}
+
 void readPlatform(JsonReader& reader, DaemonSettings& settings)
 {
     settings.staticFile = reader.readString("static_file", "");
@@ -72,7 +84,8 @@
     if (settings.staticFile.empty() && settings.storeAddress.empty()) {
         reader.report("store_address", "is missing; give it, or static_file for a single instance");
     }
-    if (!settings.storeAddress.empty() && settings.instanceListAddress.empty()) {
+    settings.instancesInStore = reader.readBool("instances_in_store", settings.instancesInStore);
+    if (!settings.storeAddress.empty() && settings.instanceListAddress.empty() && !settings.instancesInStore) {
         reader.report("instance_list_address", "is missing; it is needed with store_address");
     }
 }
@@ -110,11 +123,12 @@
         settings.regionDataCentres.emplace_back(std::move(name));
     }
     settings.dispatchPolicy = readDispatchPolicy(reader);
-    settings.trafficThreads = static_cast<int>(reader.readInteger("traffic_threads", 1, 64, settings.trafficThreads));
+    settings.trafficThreads = static_cast<int>(reader.readInteger("traffic_threads", 0, 64, settings.trafficThreads));
     settings.maxHeaderBytes = reader.readInteger("max_header_bytes", 1024, 1 << 20, settings.maxHeaderBytes);
     settings.maxBodyBytes = reader.readInteger("max_body_bytes", 1024, 1 << 30, settings.maxBodyBytes);
     settings.maxConnections = reader.readInteger("max_connections", 1, 1 << 20, settings.maxConnections);
     readTimeouts(reader, settings);
+    readConventions(reader, settings);
     readPlatform(reader, settings);
     reader.rejectUnknownFields();
     if (!errors.empty()) {
--- a/src/settings/DaemonSettings.h
+++ b/src/settings/DaemonSettings.h
@@ -19,6 +19,7 @@
     std::string peerAddress;
     // Data centres of the region, among which backend servers are planned; this instance's own when empty.
     std::vector<DataCentreId> regionDataCentres;
+    // 0 serves callers on the control thread.
     int trafficThreads = 1;
     // How dispatchers decide: "lagoonspoke", or a baseline that measurements compare it with: "fifo", "round-robin" or
     // "power-of-two".
@@ -26,6 +27,8 @@
     // Object store and instance list of the platform; empty with a static configuration.
     std::string storeAddress;
     std::string instanceListAddress;
+    // Whether instances find each other through objects in the store, in place of an instance list.
+    bool instancesInStore = false;
     std::string usageAddress;
     std::string fleetAddress;
     std::string weightStoreAddress;
@@ -45,6 +48,20 @@
     // Time between readiness going false and the listener closing, for the balancer to notice.
     Duration shutdownDelay = std::chrono::seconds(2);
     Duration usageWindow = std::chrono::seconds(60);
+    // Whether a backend server's answer without a length may end with its connection.
+    bool acceptsUnframedAnswers = false;
+    // Whether requests that run go on when their key is withdrawn.
+    bool finishesWithdrawnRequests = false;
+    // Whether keys are refused while the instance cannot know of withdrawals.
+    bool refusesKeysWhenIsolated = true;
+    // Whether a caller's connection without a request in time gets an error before it closes.
+    bool answersIdleTimeout = true;
+    // Instances to join, IP:port, besides those of the instance list.
+    std::vector<std::string> seeds;
+    // Longest time for which an order may still be on its way, and the term of a lease on them.
+    Duration leaseTerm = std::chrono::seconds(10);
+    // Time from the end of a usage window until its report is due.
+    Duration usageReportBound = std::chrono::seconds(10);
 };
 
 // Reads and checks a settings file's text whole; on failure gives every mistake.
--- a/src/usage/UsageMessages.h
+++ b/src/usage/UsageMessages.h
@@ -36,10 +36,10 @@
 
 struct UsageReport {
     WindowNumber window = 0;
-    TeamId team;
     std::string id; // the same whoever sends it, so that repeats are harmless
     FencingToken token {};
-    UsageFigures figures;
+    // One team, or all of the window where the receiver takes whole windows.
+    TeamFigures teams;
 };
 
 // Calls to the object store and the usage interface. Each is answered by a UsageAnswer with the same number.
--- a/src/usage/UsageSealer.cpp
+++ b/src/usage/UsageSealer.cpp
@@ -305,25 +305,34 @@
         return;
     }
     m_reporting = std::move(*sealed);
+    m_reported = !m_options.reportsWholeWindows && m_reporting->teams.empty();
     sendNextReport();
 }
 
 void UsageSealer::sendNextReport()
 {
-    if (m_reporting->teams.empty()) {
+    if (m_reported) {
         call(Step::MarkingReported, CreateUsageObject { 0, reportedWindowKey(m_reporting->window), "done\n" });
         return;
     }
-    const auto& [team, figures] = *m_reporting->teams.begin();
-    auto id = fmt::format("{}/{}", m_reporting->window, team.value());
-    call(Step::Reporting, SendUsageReport { 0, { m_reporting->window, team, std::move(id), *m_token, figures } });
+    UsageReport report { m_reporting->window, {}, *m_token, m_reporting->teams };
+    if (m_options.reportsWholeWindows) {
+        report.id = fmt::format("{}", report.window);
+    } else {
+        report.teams.erase(std::next(report.teams.begin()), report.teams.end());
+        report.id = fmt::format("{}/{}", report.window, report.teams.begin()->first.value());
+    }
+    call(Step::Reporting, SendUsageReport { 0, std::move(report) });
 }
 
 void UsageSealer::finishReport(const UsageAnswer& answer)
 {
     m_step = Step::Ready;
     if (answer.status == UsageAnswer::Status::Done) {
-        m_reporting->teams.erase(m_reporting->teams.begin());
+        if (!m_options.reportsWholeWindows) {
+            m_reporting->teams.erase(m_reporting->teams.begin());
+        }
+        m_reported = m_options.reportsWholeWindows || m_reporting->teams.empty();
     } else {
         m_reportRetryAt = m_now + m_options.retryInterval;
     }
--- a/src/usage/UsageSealer.h
+++ b/src/usage/UsageSealer.h
@@ -33,6 +33,8 @@
         // Reported windows whose objects stay in the object store. Only a sealer that was paused, between the check of
         // its lease and a write, for longer than this many windows could seal a deleted window a second time.
         WindowNumber retention = 120;
+        // One report for all teams of a window.
+        bool reportsWholeWindows = false;
     };
 
     static UsageSealer Make(Options);
@@ -113,6 +115,7 @@
     std::deque<UsageAnswer::Entry> m_entries;
     std::vector<UsageWindowRecord> m_records;
     std::optional<SealedWindow> m_reporting; // without the teams that are reported already
+    bool m_reported = false; // nothing of m_reporting is left to report
 };
 
 } // namespace lagoonspoke
--- a/src/wire/PlacementCodec.cpp
+++ b/src/wire/PlacementCodec.cpp
@@ -22,6 +22,10 @@
     for (auto block : it.prefix) {
         blocks.push_back(static_cast<std::uint64_t>(block));
     }
+    std::vector<std::int64_t> blockTokens;
+    for (auto tokens : it.prefixTokens) {
+        blockTokens.push_back(tokens.count);
+    }
     std::vector<flatbuffers::Offset<flatbuffers::String>> servers;
     for (const auto& server : it.excluded) {
         servers.push_back(builder.CreateString(server.value()));
@@ -32,9 +36,10 @@
     auto className = writeText(builder, it.className.value());
     auto prefix = builder.CreateVector(blocks);
     auto excluded = builder.CreateVector(servers);
+    auto prefixTokens = builder.CreateVector(blockTokens);
     return wire::CreatePlaceRequest(builder, request, domain, team, className, it.tier.level, it.promptTokens.count,
         it.outputLimit.count, prefix, it.idempotent, static_cast<std::uint64_t>(it.fingerprint), it.remaining.count(),
-        it.waited.count(), it.attempt, excluded);
+        it.waited.count(), it.attempt, excluded, prefixTokens);
 }
 
 flatbuffers::Offset<wire::Progress> write(Builder& builder, const Progress& it)
@@ -113,6 +118,11 @@
             place.prefix.push_back(PrefixBlock(block));
         }
     }
+    if (const auto* blockTokens = it.prefix_tokens()) {
+        for (auto tokens : *blockTokens) {
+            place.prefixTokens.push_back({ tokens });
+        }
+    }
     place.idempotent = it.idempotent();
     place.fingerprint = Fingerprint(it.fingerprint());
     place.remaining = readDuration(it.remaining_ns());
@@ -154,7 +164,7 @@
     progress.outputTokens = { it.output_tokens() };
     progress.finished = it.finished();
     progress.promptTokens = { it.prompt_tokens() };
-    if (!readEnum(it.outcome(), FinishOutcome::Aborted, progress.outcome)) {
+    if (!readEnum(it.outcome(), FinishOutcome::Declined, progress.outcome)) {
         return std::nullopt;
     }
     return progress;
--- a/src/wire/placement_generated.h
+++ b/src/wire/placement_generated.h
@@ -153,7 +153,8 @@
     VT_REMAINING_NS = 24,
     VT_WAITED_NS = 26,
     VT_ATTEMPT = 28,
-    VT_EXCLUDED = 30
+    VT_EXCLUDED = 30,
+    VT_PREFIX_TOKENS = 32
   };
   const flatbuffers::String *request() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST);
@@ -197,6 +198,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *excluded() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_EXCLUDED);
   }
+  const flatbuffers::Vector<int64_t> *prefix_tokens() const {
+    return GetPointer<const flatbuffers::Vector<int64_t> *>(VT_PREFIX_TOKENS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST) &&
@@ -220,6 +224,8 @@
            VerifyOffset(verifier, VT_EXCLUDED) &&
            verifier.VerifyVector(excluded()) &&
            verifier.VerifyVectorOfStrings(excluded()) &&
+           VerifyOffset(verifier, VT_PREFIX_TOKENS) &&
+           verifier.VerifyVector(prefix_tokens()) &&
            verifier.EndTable();
   }
 };
@@ -270,6 +276,9 @@
   void add_excluded(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded) {
     fbb_.AddOffset(PlaceRequest::VT_EXCLUDED, excluded);
   }
+  void add_prefix_tokens(flatbuffers::Offset<flatbuffers::Vector<int64_t>> prefix_tokens) {
+    fbb_.AddOffset(PlaceRequest::VT_PREFIX_TOKENS, prefix_tokens);
+  }
   explicit PlaceRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -296,13 +305,15 @@
     int64_t remaining_ns = 0,
     int64_t waited_ns = 0,
     int32_t attempt = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
+    flatbuffers::Offset<flatbuffers::Vector<int64_t>> prefix_tokens = 0) {
   PlaceRequestBuilder builder_(_fbb);
   builder_.add_waited_ns(waited_ns);
   builder_.add_remaining_ns(remaining_ns);
   builder_.add_fingerprint(fingerprint);
   builder_.add_output_limit(output_limit);
   builder_.add_prompt_tokens(prompt_tokens);
+  builder_.add_prefix_tokens(prefix_tokens);
   builder_.add_excluded(excluded);
   builder_.add_attempt(attempt);
   builder_.add_prefix(prefix);
@@ -330,13 +341,15 @@
     int64_t remaining_ns = 0,
     int64_t waited_ns = 0,
     int32_t attempt = 0,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
+    const std::vector<int64_t> *prefix_tokens = nullptr) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto team__ = team ? _fbb.CreateString(team) : 0;
   auto class_name__ = class_name ? _fbb.CreateString(class_name) : 0;
   auto prefix__ = prefix ? _fbb.CreateVector<uint64_t>(*prefix) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
+  auto prefix_tokens__ = prefix_tokens ? _fbb.CreateVector<int64_t>(*prefix_tokens) : 0;
   return lagoonspoke::wire::CreatePlaceRequest(
       _fbb,
       request__,
@@ -352,7 +365,8 @@
       remaining_ns,
       waited_ns,
       attempt,
-      excluded__);
+      excluded__,
+      prefix_tokens__);
 }
 
 struct Progress FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tools/ctl/KeyVerbs.cpp
+++ b/tools/ctl/KeyVerbs.cpp
@@ -8,7 +8,7 @@
 
 #include "config/CanonicalJson.h"
 #include "config/ObjectWriter.h"
-#include "platform/TicketSubmitter.h"
+#include "external/TicketSubmitter.h"
 #include "tools/ctl/SubmissionReport.h"
 #include "tools/ctl/Table.h"
 #include "tools/ctl/Verbs.h"
--- a/tools/ctl/StatusVerb.cpp
+++ b/tools/ctl/StatusVerb.cpp
@@ -1,7 +1,7 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
-#include "platform/TicketSubmitter.h"
+#include "external/TicketSubmitter.h"
 #include "tools/ctl/Table.h"
 #include "tools/ctl/Verbs.h"
 
--- a/tools/ctl/Verbs.h
+++ b/tools/ctl/Verbs.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/ObjectStoreClient.h"
+#include "external/ObjectStoreClient.h"
 
 namespace lagoonspoke {
 
--- a/tools/ctl/VerbsTest.cpp
+++ b/tools/ctl/VerbsTest.cpp
@@ -3,8 +3,8 @@
 #include <boost/json.hpp>
 
 #include "lagoonspoke/core/Digest.h"
-#include "platform/StoreHarnessTest.h"
-#include "platform/TicketSubmitter.h"
+#include "external/StoreHarnessTest.h"
+#include "external/TicketSubmitter.h"
 #include "tools/ctl/CommandTable.h"
 
 namespace lagoonspoke {
