Place prompts where their parts lie, and keep long prompts off gap-sensitive streams

Change: PromptPlacement and PrefixCache; unread prompt of an engine is bounded; engines of the platform are not polled by the product's own calls, which they refuse.

--- a/bench/EntryBench.cpp
+++ b/bench/EntryBench.cpp
@@ -229,10 +229,11 @@
     settings.tokenGapTimeout = std::chrono::minutes(10);
     prometheus::Registry registry;
     RequestMetrics metrics(registry);
+    OwnDialect dialect;
     auto address = formatEndpoint((*engine)->endpoint());
     std::unique_ptr<TrafficThread> traffic;
     std::uint64_t lastGrant = 0;
-    auto made = TrafficThread::Make(0, settings, loopback, metrics, [&](int, EntryMessage message) {
+    auto made = TrafficThread::Make(0, settings, loopback, dialect, metrics, [&](int, EntryMessage message) {
         // Grants every request after a hop to the control thread and back.
         asio::post(controlLoop.io, [&, message = std::move(message)] {
             if (const auto* place = std::get_if<PlaceRequest>(&message)) {
--- a/include/lagoonspoke/config/Configuration.h
+++ b/include/lagoonspoke/config/Configuration.h
@@ -73,6 +73,8 @@
     std::map<DataCentreId, double> dataCentrePrices = {};
     // Time from an order until the server serves.
     Duration startTime = std::chrono::minutes(3);
+    // Tokens that a server sends in one event of a stream.
+    int tokensPerEvent = 1;
     // Tokens of running requests and cached prefixes that one backend server holds; 0 when unknown.
     Tokens memoryPerServer = {};
     Tokens contextLimit { 32768 };
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -53,9 +53,14 @@
         = std::make_unique<ControlLoop>(m_io, m_settings, *m_peers, [this](int thread, DispatcherMessage message) {
               m_traffic[static_cast<std::size_t>(thread)]->deliver(std::move(message));
           });
-    m_engines = std::make_unique<EngineMonitor>(m_io,
-        EngineMonitor::Callbacks { [this] { return m_control->ownedEngines(); },
-            [this](const DomainId& domain, const DispatchEvent& event) { m_control->tellDispatcher(domain, event); } });
+    if (m_interfaces.monitorsEngines) {
+        EngineMonitor::Callbacks callbacks;
+        callbacks.listServers = [this] { return m_control->ownedEngines(); };
+        callbacks.report = [this](const DomainId& domain, const DispatchEvent& event) {
+            m_control->tellDispatcher(domain, event);
+        };
+        m_engines = std::make_unique<EngineMonitor>(m_io, std::move(callbacks));
+    }
     connectPeers();
     if (auto opened = openTraffic(); !opened) {
         return opened;
@@ -172,12 +177,14 @@
             m_peers->stop();
             co_return;
         });
-    add(
-        "engines", [this] { m_engines->start(); },
-        [this]() -> asio::awaitable<void> {
-            m_engines->stop();
-            co_return;
-        });
+    if (m_engines) {
+        add(
+            "engines", [this] { m_engines->start(); },
+            [this]() -> asio::awaitable<void> {
+                m_engines->stop();
+                co_return;
+            });
+    }
     if (m_storeServices) {
         add(
             "store services", [this] { m_storeServices->start(); }, [this] { return m_storeServices->stop(); });
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -58,7 +58,7 @@
     std::unique_ptr<PeerService> m_peers;
     std::unique_ptr<ControlLoop> m_control;
     std::unique_ptr<StoreServices> m_storeServices; // null with a static configuration
-    std::unique_ptr<EngineMonitor> m_engines;
+    std::unique_ptr<EngineMonitor> m_engines; // null when the engines have no such calls
     std::vector<std::unique_ptr<TrafficThread>> m_traffic;
     std::unique_ptr<HttpServer> m_admin;
     Supervisor m_supervisor;
--- a/src/daemon/ExternalInterfaces.cpp
+++ b/src/daemon/ExternalInterfaces.cpp
@@ -55,6 +55,7 @@
         interfaces.usage = std::make_shared<UsageClient>(**usage, makeProcessName(settings), reportBound);
     }
     interfaces.fleet = *fleet;
+    interfaces.monitorsEngines = true;
     return interfaces;
 }
 
--- a/src/daemon/ExternalInterfaces.h
+++ b/src/daemon/ExternalInterfaces.h
@@ -34,6 +34,8 @@
     std::optional<tcp::endpoint> fleet;
     // Orders of wished numbers in place of that interface; null without them.
     CapacityOrdersPtr capacity;
+    // Whether model engines answer the product's own calls for load and cache events.
+    bool monitorsEngines = false;
     // Where operators submit change tickets, or the document in place of them; neither with a static configuration.
     WatchableObjectStorePtr tickets;
     std::optional<ConfigurationDocument> document;
--- a/src/dispatch/Admission.cpp
+++ b/src/dispatch/Admission.cpp
@@ -19,7 +19,9 @@
     waiting->dataCentre = dataCentre;
     waiting->place = place;
     waiting->queued = now;
-    waiting->target = now - place.waited + m_state.classOf(place).firstTokenTarget;
+    auto spec = m_state.classOf(place);
+    waiting->target = now - place.waited + spec.firstTokenTarget;
+    waiting->gapSensitive = spec.tokenGapTarget <= m_state.options.shortestGapTarget;
     waiting->deadline = now + place.remaining;
     waiting->predictedOutput = m_state.lengths.predict(place.team, place.className, place.outputLimit).count;
     waiting->cost = place.promptTokens.count + waiting->predictedOutput;
--- a/src/dispatch/DispatchState.cpp
+++ b/src/dispatch/DispatchState.cpp
@@ -83,6 +83,7 @@
         return;
     }
     state->inFlight = std::max(0, state->inFlight - 1);
+    state->gapSensitive = std::max(0, state->gapSensitive - (granted.gapSensitive ? 1 : 0));
     if (!granted.firstByteSeen) {
         state->removeAwaiting(granted.grantedAt, granted.promptWork);
     }
--- a/src/dispatch/DispatchState.h
+++ b/src/dispatch/DispatchState.h
@@ -47,7 +47,7 @@
     // Predicted seconds until the last waiting request of the tier has a slot.
     double predictedWait(Tier, MonotonicTime now);
 
-    const DispatchOptions options;
+    DispatchOptions options;
     SnapshotPtr snapshot;
     MonotonicTime startedAt {};
     std::map<Tier, TierQueue> queues;
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -13,7 +13,8 @@
 Dispatcher Dispatcher::Make(DomainId domain, const DispatchOptions& options)
 {
     if (options.policy == DispatchPolicy::Lagoonspoke) {
-        return Dispatcher(std::move(domain), std::make_unique<PolicyDispatcher>(options));
+        auto policy = std::make_unique<PolicyDispatcher>(domain, options);
+        return Dispatcher(std::move(domain), std::move(policy));
     }
     return Dispatcher(std::move(domain), std::make_unique<BaselineDispatcher>(options));
 }
--- a/src/dispatch/GrantScheduler.cpp
+++ b/src/dispatch/GrantScheduler.cpp
@@ -144,6 +144,12 @@
     granted.inFlightThen = server.inFlight;
     granted.guaranteed = guaranteed;
     granted.alone = server.runsSuspect;
+    granted.gapSensitive = waiting->gapSensitive;
+    server.gapSensitive += waiting->gapSensitive ? 1 : 0;
+    if (!granted.place.prefixTokens.empty()) {
+        auto work = server.pendingWork + granted.promptWork;
+        server.cache.startReading(granted.place, now + 2 * fromSeconds(work * server.secondsPerPromptToken()));
+    }
     if (server.health.isEjected()) {
         server.health.startProbe();
     }
--- a/src/dispatch/GrantTable.h
+++ b/src/dispatch/GrantTable.h
@@ -27,6 +27,7 @@
     int inFlightThen = 0; // on the server before this grant
     bool started = false;
     bool firstByteSeen = false;
+    bool gapSensitive = false; // its class has a short gap target
     bool guaranteed = false; // granted from the tier's guaranteed share: not preempted
     bool alone = false; // a suspect request
     bool revoked = false;
--- a/src/dispatch/GrantTracker.cpp
+++ b/src/dispatch/GrantTracker.cpp
@@ -44,6 +44,7 @@
         granted.firstByteSeen = true;
         if (server) {
             ++server->inFlight;
+            server->gapSensitive += granted.gapSensitive ? 1 : 0;
         }
     }
     if (progress.firstByteSeen && !granted.firstByteSeen) {
@@ -54,6 +55,7 @@
                 progress.timeToFirstByte, granted.promptWork + granted.workAhead, granted.inFlightThen, now);
             m_state.pool.noteSuccess(*server);
             server->removeAwaiting(granted.grantedAt, granted.promptWork);
+            server->cache.finishReading(granted.place);
         }
         granted.lastProgress = now;
         granted.outputTokens = std::max(granted.outputTokens, progress.outputTokens.count);
@@ -152,6 +154,7 @@
     if (newDeath) {
         server.diedAt = now;
         server.prefix = {};
+        server.cache.clear();
         m_state.pool.noteFailure(server, true, now);
     }
     if (!m_state.options.useQuarantine || granted.place.fingerprint == Fingerprint {}) {
@@ -205,6 +208,11 @@
     m_state.shares.noteArrival(held.request.tier, now);
     if (auto* server = m_state.pool.find(held.server)) {
         granted.inFlightThen = server->inFlight++;
+        granted.gapSensitive = waiting->gapSensitive;
+        server->gapSensitive += granted.gapSensitive ? 1 : 0;
+        if (!granted.place.prefixTokens.empty()) {
+            server->cache.startReading(granted.place, now);
+        }
     }
     m_state.grants.add(std::move(granted), now);
 }
@@ -253,10 +261,12 @@
 {
     for (auto& [id, server] : m_state.pool.servers()) {
         server.inFlight = 0;
+        server.gapSensitive = 0;
     }
     for (const auto& [request, granted] : m_state.grants.all()) {
         if (auto* server = m_state.pool.find(granted.server); server && granted.holdsSlot) {
             ++server->inFlight;
+            server->gapSensitive += granted.gapSensitive ? 1 : 0;
         }
     }
 }
--- a/src/dispatch/PolicyDispatcher.cpp
+++ b/src/dispatch/PolicyDispatcher.cpp
@@ -14,11 +14,31 @@
 constexpr Duration rateUpdatePause = std::chrono::milliseconds(100);
 // A tier that waits this long for a slot closes the domain to the tiers below it.
 constexpr Duration backlogForFloor = std::chrono::milliseconds(100);
+// Time that an engine reads prompts between two tokens of running requests, with chunks of 4,096 tokens, the default of
+// common engines, at 40,000 tokens a second.
+constexpr Duration stallOfChunk = std::chrono::milliseconds(100);
+
+// The gap target of the classes that long prompts would make late: the shortest one of the target's classes, if the
+// engine's event can be held up that long.
+Duration sensitiveGapTarget(const Configuration& configuration, const DeploymentSpec& deployment)
+{
+    Duration shortest = Duration::max();
+    for (const auto& [name, route] : configuration.routes) {
+        bool serves = route.service == deployment.name
+            || std::ranges::count(route.split, deployment.name, &TargetShare::target) > 0;
+        if (route.streamed && serves) {
+            shortest = std::min(shortest, configuration.classes.at(route.className).tokenGapTarget);
+        }
+    }
+    auto longestStall = deployment.tokensPerEvent * stallOfChunk;
+    return shortest <= longestStall ? shortest : Duration(0);
+}
 
 } // namespace
 
-PolicyDispatcher::PolicyDispatcher(const DispatchOptions& options)
-    : m_state(options)
+PolicyDispatcher::PolicyDispatcher(const DomainId& domain, const DispatchOptions& options)
+    : m_target(domain.value().substr(domain.value().find('/') + 1))
+    , m_state(options)
     , m_admission(m_state)
     , m_scheduler(m_state)
     , m_preemptor(m_state)
@@ -37,7 +57,7 @@
                    [&](const ConfigurationChanged& changed) {
                        m_state.snapshot = changed.snapshot;
                        if (m_state.snapshot) {
-                           m_state.shares.configure(m_state.snapshot->configuration().tiers);
+                           configure(m_state.snapshot->configuration());
                        }
                    },
                    [&](const LoadReported& report) { applyReport(report, now); },
@@ -86,6 +106,15 @@
     return next;
 }
 
+void PolicyDispatcher::configure(const Configuration& configuration)
+{
+    m_state.shares.configure(configuration.tiers);
+    if (auto it = configuration.deployments.find(m_target); it != configuration.deployments.end()) {
+        m_state.pool.setMemory(it->second.memoryPerServer);
+        m_state.options.shortestGapTarget = sensitiveGapTarget(configuration, it->second);
+    }
+}
+
 void PolicyDispatcher::start(MonotonicTime now)
 {
     if (!m_started) {
--- a/src/dispatch/PolicyDispatcher.h
+++ b/src/dispatch/PolicyDispatcher.h
@@ -16,7 +16,7 @@
 // Dispatcher.
 class PolicyDispatcher {
 public:
-    explicit PolicyDispatcher(const DispatchOptions&);
+    PolicyDispatcher(const DomainId&, const DispatchOptions&);
 
     std::vector<DispatchAction> handle(const DispatchEvent&, MonotonicTime now);
     std::vector<DispatchAction> advance(MonotonicTime now);
@@ -25,6 +25,7 @@
     DispatchLoad load() const;
 
 private:
+    void configure(const Configuration&);
     void start(MonotonicTime now);
     void accept(const EntryMessageReceived&, MonotonicTime now);
     void place(const InstanceId& entry, const DataCentreId&, const PlaceRequest&, MonotonicTime now);
@@ -39,6 +40,7 @@
     // The lowest tier that is admitted now.
     Tier ownFloor(MonotonicTime now) const;
 
+    TargetName m_target;
     DispatchState m_state;
     Admission m_admission;
     GrantScheduler m_scheduler;
--- /dev/null
+++ b/src/dispatch/PrefixCache.cpp
@@ -0,0 +1,70 @@
+#include "dispatch/PrefixCache.h"
+
+#include <algorithm>
+
+namespace lagoonspoke {
+
+Tokens PrefixCache::cachedTokens(const PlaceRequest& place) const
+{
+    Tokens sum;
+    for (std::size_t i = 0; i < place.prefix.size() && m_parts.contains(place.prefix[i]); ++i) {
+        sum += place.prefixTokens[i];
+    }
+    return sum;
+}
+
+bool PrefixCache::isBeingRead(const PlaceRequest& place, MonotonicTime now) const
+{
+    for (const auto& block : place.prefix) {
+        auto it = m_parts.find(block);
+        if (it == m_parts.end()) {
+            return false;
+        }
+        if (it->second->readingUntil && now < *it->second->readingUntil) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void PrefixCache::startReading(const PlaceRequest& place, MonotonicTime expected)
+{
+    for (std::size_t i = 0; i < place.prefix.size(); ++i) {
+        if (auto it = m_parts.find(place.prefix[i]); it != m_parts.end()) {
+            m_order.splice(m_order.end(), m_order, it->second);
+            continue;
+        }
+        m_order.push_back({ place.prefix[i], place.prefixTokens[i], expected });
+        m_parts.emplace(place.prefix[i], std::prev(m_order.end()));
+        m_size += place.prefixTokens[i];
+    }
+    dropLeastRecentlyUsed();
+}
+
+void PrefixCache::finishReading(const PlaceRequest& place)
+{
+    for (const auto& block : place.prefix) {
+        if (auto it = m_parts.find(block); it != m_parts.end()) {
+            it->second->readingUntil.reset();
+        }
+    }
+}
+
+void PrefixCache::clear()
+{
+    m_order.clear();
+    m_parts.clear();
+    m_size = {};
+}
+
+void PrefixCache::dropLeastRecentlyUsed()
+{
+    while (m_capacity.count > 0 && m_size > m_capacity && !m_order.empty()) {
+        const auto& oldest = m_order.front();
+        m_size -= oldest.tokens;
+        m_parts.erase(oldest.block);
+        m_order.pop_front();
+    }
+}
+
+} // namespace lagoonspoke
--- a/src/dispatch/ServerPool.cpp
+++ b/src/dispatch/ServerPool.cpp
@@ -19,12 +19,37 @@
             known.mapped().server = server;
             servers.insert(std::move(known));
         } else {
-            servers.emplace(server.id, ServerState(server));
+            auto& state = servers.emplace(server.id, ServerState(server)).first->second;
+            state.cache.setCapacity(m_memory);
+            if (auto known = meanSecondsPerPromptToken()) {
+                state.assumeSecondsPerPromptToken(*known);
+            }
         }
     }
     m_servers = std::move(servers);
 }
 
+void ServerPool::setMemory(Tokens memory)
+{
+    m_memory = memory;
+    for (auto& [id, state] : m_servers) {
+        state.cache.setCapacity(memory);
+    }
+}
+
+std::optional<double> ServerPool::meanSecondsPerPromptToken() const
+{
+    double sum = 0;
+    int count = 0;
+    for (const auto& [id, state] : m_servers) {
+        if (state.isMeasured()) {
+            sum += state.secondsPerPromptToken();
+            ++count;
+        }
+    }
+    return count > 0 ? std::optional(sum / count) : std::nullopt;
+}
+
 ServerState* ServerPool::find(const BackendServerId& id)
 {
     auto it = m_servers.find(id);
--- a/src/dispatch/ServerPool.h
+++ b/src/dispatch/ServerPool.h
@@ -18,6 +18,8 @@
 
     // Replaces the list; servers known before keep their state.
     void replace(const std::vector<BackendServer>&);
+    // Tokens that each server holds; zero when unknown.
+    void setMemory(Tokens);
     ServerState* find(const BackendServerId&);
     std::map<BackendServerId, ServerState>& servers() { return m_servers; }
 
@@ -39,8 +41,11 @@
 
 private:
     void eject(ServerState&, MonotonicTime now);
+    // Of the servers that were measured.
+    std::optional<double> meanSecondsPerPromptToken() const;
 
     const DispatchOptions& m_options;
+    Tokens m_memory;
     std::map<BackendServerId, ServerState> m_servers; // ordered, so that decisions do not depend on hashes
 };
 
--- a/src/dispatch/ServerSelector.cpp
+++ b/src/dispatch/ServerSelector.cpp
@@ -13,8 +13,6 @@
 // request that has time, unless none came for the second.
 constexpr Duration slowTrialPause = std::chrono::seconds(5);
 constexpr Duration longestTrialPause = std::chrono::seconds(30);
-// A server that declined a request gets none for this time; it is about that of one short request.
-constexpr Duration declinedPause = std::chrono::milliseconds(100);
 // Suspect requests may keep at most this part of the servers from the others, and one in any case.
 constexpr std::size_t isolationDivisor = 4;
 
@@ -35,6 +33,9 @@
     if (place.prefix.empty() || !m_options.usePrefixIndex) {
         return place.promptTokens.count;
     }
+    if (!place.prefixTokens.empty()) {
+        return PromptPlacement::uncachedTokens(state, place).count;
+    }
     auto blocks = static_cast<std::int64_t>(place.prefix.size());
     auto cached = static_cast<std::int64_t>(state.prefix.cachedBlocks(place.prefix));
     return place.promptTokens.count - place.promptTokens.count * cached / blocks;
@@ -79,7 +80,7 @@
     if (state.health.isEjected()) {
         return state.health.wantsProbe(now) && waiting.place.idempotent;
     }
-    if (!state.hasFreeSlot() || state.declinedSince(now - declinedPause)) {
+    if (!state.hasFreeSlot() || state.declinedSince(now - m_options.declinedPause)) {
         return false;
     }
     if (!state.slow) {
@@ -90,12 +91,15 @@
     return state.inFlight == 0 && (idle > longestTrialPause || (hasTime && idle > slowTrialPause));
 }
 
-ServerState* ServerSelector::choose(const WaitingRequest& waiting, MonotonicTime now) const
+ServerState* ServerSelector::choose(const WaitingRequest& waiting, MonotonicTime now)
 {
     ServerState* best = nullptr;
     std::tuple<bool, int, Duration> bestRank;
     bool excludedAll = std::ranges::all_of(m_pool.servers(),
         [&](const auto& it) { return !m_pool.isUsable(it.second) || isExcluded(it.second, waiting.place); });
+    if (!waiting.place.prefixTokens.empty()) {
+        return m_prompts.choose(waiting, excludedAll, now);
+    }
     for (auto& [id, state] : m_pool.servers()) {
         if (!mayUse(state, waiting, now) || (!excludedAll && isExcluded(state, waiting.place))) {
             continue;
--- a/src/dispatch/ServerSelector.h
+++ b/src/dispatch/ServerSelector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/PromptPlacement.h"
 #include "dispatch/ServerPool.h"
 #include "dispatch/WaitingRequest.h"
 
@@ -11,11 +12,12 @@
     ServerSelector(ServerPool& pool, const DispatchOptions& options)
         : m_pool(pool)
         , m_options(options)
+        , m_prompts(pool, options)
     {
     }
 
     // The server to run the request, or null when none that suits it has a free slot.
-    ServerState* choose(const WaitingRequest&, MonotonicTime now) const;
+    ServerState* choose(const WaitingRequest&, MonotonicTime now);
     // An empty server for a suspect request; otherwise keeps one free for it and gives null.
     ServerState* chooseAlone(const WaitingRequest&, MonotonicTime now);
     // Predicted time to the first token on the given server.
@@ -37,6 +39,7 @@
 
     ServerPool& m_pool;
     const DispatchOptions& m_options;
+    PromptPlacement m_prompts;
 };
 
 } // namespace lagoonspoke
--- a/src/dispatch/ServerState.cpp
+++ b/src/dispatch/ServerState.cpp
@@ -12,6 +12,10 @@
 constexpr double initialSecondsPerPromptToken = 1.0 / 8000;
 // Recent observations count most, so that a slowdown shows after a few responses.
 constexpr double weightOfNewest = 0.3;
+// The first one replaces most of what was assumed.
+constexpr double firstWeight = 0.7;
+// The time of a shorter prompt is mostly that of the way there and of the first token.
+constexpr double smallestSample = 1500;
 
 } // namespace
 
@@ -24,8 +28,13 @@
 
 void ServerState::noteFirstByte(Duration time, double work, int inFlightThen, MonotonicTime now)
 {
+    if (work < smallestSample && m_measured) {
+        m_newestObservation = now;
+        return;
+    }
     double sample = toSeconds(time) / (work * ServerSelector::loadFactor(inFlightThen, server.slots));
-    m_secondsPerPromptToken += weightOfNewest * (sample - m_secondsPerPromptToken);
+    m_secondsPerPromptToken += (m_measured ? weightOfNewest : firstWeight) * (sample - m_secondsPerPromptToken);
+    m_measured = true;
     m_newestObservation = now;
 }
 
--- a/src/dispatch/ServerState.h
+++ b/src/dispatch/ServerState.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <set>
 
+#include "dispatch/PrefixCache.h"
 #include "dispatch/PrefixIndex.h"
 #include "dispatch/ServerHealth.h"
 #include "lagoonspoke/dispatch/BackendServer.h"
@@ -29,6 +30,10 @@
     void noteDeclined(MonotonicTime now) { m_declinedAt = now; }
     bool declinedSince(MonotonicTime time) const { return m_declinedAt && *m_declinedAt > time; }
 
+    // Until the first observation.
+    void assumeSecondsPerPromptToken(double seconds) { m_secondsPerPromptToken = seconds; }
+    bool isMeasured() const { return m_measured; }
+
     // Seconds to the first byte for one uncached prompt token on an otherwise empty server.
     double secondsPerPromptToken() const { return m_secondsPerPromptToken; }
     // Tokens per second of one request; empty before the first observation.
@@ -44,7 +49,9 @@
     bool isolated = false; // kept free for a suspect request, or running one
     bool runsSuspect = false;
     ServerHealth health;
-    PrefixIndex prefix;
+    PrefixIndex prefix; // by the engine's cache events
+    PrefixCache cache; // by what was sent to the engine
+    int gapSensitive = 0; // requests in flight whose class has a short gap target
     double pendingWork = 0; // prompt work of requests without a first byte
     std::multiset<MonotonicTime> awaitingFirstByte; // grant times of requests without a first byte
     std::optional<MonotonicTime> diedAt; // grants up to then ended with the death
@@ -52,6 +59,7 @@
 
 private:
     double m_secondsPerPromptToken;
+    bool m_measured = false;
     std::optional<double> m_tokenRate;
     MonotonicTime m_newestObservation {};
     std::optional<MonotonicTime> m_declinedAt;
--- a/src/dispatch/TierQueue.cpp
+++ b/src/dispatch/TierQueue.cpp
@@ -9,6 +9,8 @@
 
 // Bounds the work of one pick when the heads of many teams cannot be placed.
 constexpr int mostTeamsLookedAt = 16;
+// The same for the requests of one team.
+constexpr int mostRequestsLookedAt = 8;
 // Idle teams are forgotten in bulk when this many are known.
 constexpr std::size_t idleTeamsKept = 1024;
 
@@ -65,9 +67,21 @@
     return waiting;
 }
 
-const WaitingRequest* TierQueue::headOf(const Team& team)
+// A request may wait for one certain server; those of the team behind it need not.
+const WaitingRequest* TierQueue::firstAccepted(const Team& team, const Accept& accept)
 {
-    return !team.onTime.empty() ? team.onTime.begin()->second.get() : team.late.begin()->second.get();
+    int looked = 0;
+    for (const auto* order : { &team.onTime, &team.late }) {
+        for (const auto& [key, waiting] : *order) {
+            if (looked++ == mostRequestsLookedAt) {
+                return nullptr;
+            }
+            if (accept(*waiting)) {
+                return waiting.get();
+            }
+        }
+    }
+    return nullptr;
 }
 
 const WaitingRequest* TierQueue::lastOf(const Team& team)
@@ -98,8 +112,8 @@
         }
         auto& team = *m_teams.at(id);
         demoteLate(team, now, firstTokenTime);
-        const auto* head = headOf(team);
-        if (!accept(*head)) {
+        const auto* head = firstAccepted(team, accept);
+        if (!head) {
             continue;
         }
         if (!best) {
--- a/src/dispatch/TierQueue.h
+++ b/src/dispatch/TierQueue.h
@@ -63,7 +63,7 @@
         Order::iterator position;
     };
 
-    static const WaitingRequest* headOf(const Team&);
+    static const WaitingRequest* firstAccepted(const Team&, const Accept&);
     static const WaitingRequest* lastOf(const Team&);
     void demoteLate(Team&, MonotonicTime now, Duration firstTokenTime);
     // Changes a team's place in the orders of active teams.
--- a/src/dispatch/WaitingRequest.h
+++ b/src/dispatch/WaitingRequest.h
@@ -19,6 +19,7 @@
     std::int64_t cost = 0; // prompt and predicted output tokens
     std::int64_t predictedOutput = 0;
     bool late = false; // the target can no longer be met
+    bool gapSensitive = false; // its class has a short gap target
 };
 
 using WaitingPtr = std::unique_ptr<WaitingRequest>;
--- a/src/entry/CallerServiceFixture.h
+++ b/src/entry/CallerServiceFixture.h
@@ -205,6 +205,7 @@
 // One traffic thread's service with callers and backend servers, all on one event loop.
 struct Fixture {
     asio::io_context io;
+    OwnDialect dialect;
     DaemonSettings settings;
     prometheus::Registry registry;
     RequestMetrics metrics { registry };
@@ -225,7 +226,7 @@
         if (change) {
             change(settings);
         }
-        service = std::make_unique<CallerService>(io.get_executor(), settings, placement, metrics, "t");
+        service = std::make_unique<CallerService>(io.get_executor(), dialect, settings, placement, metrics, "t");
         service->applySnapshot(makeSnapshot(true));
         HttpServer::Options options;
         options.limits.maxHeaderBytes = static_cast<std::size_t>(settings.maxHeaderBytes);
--- a/src/entry/RequestFuzzTest.cpp
+++ b/src/entry/RequestFuzzTest.cpp
@@ -91,7 +91,9 @@
         REQUIRE(admitted->team);
         REQUIRE(admitted->classSpec);
         REQUIRE(admitted->key.empty());
-        auto sent = formatBackendHead(*admitted, { "h", "id", Tier { 1 }, Tokens { 3 }, mutatedBody.size() });
+        BackendHead sentHead { "h", "id", Tier { 1 }, Tokens { 3 } };
+        sentHead.bodyBytes = mutatedBody.size();
+        auto sent = formatBackendHead(*admitted, sentHead);
         REQUIRE((sent + mutatedBody).find(presented) == std::string::npos);
     }
     // The mutations are mild enough to reach the checks behind the first ones.
--- a/src/usage/UsageWorldTest.cpp
+++ b/src/usage/UsageWorldTest.cpp
@@ -318,8 +318,8 @@
     UsageAnswer apply(const SendUsageReport& it)
     {
         ++reports;
-        auto [first, added] = m_reported.try_emplace(it.report.id, it.report.figures);
-        CHECK(first->second == it.report.figures);
+        auto [first, added] = m_reported.try_emplace(it.report.id, it.report.teams.begin()->second);
+        CHECK(first->second == it.report.teams.begin()->second);
         return { it.call, UsageAnswer::Status::Done, {}, {} };
     }
 
