Count the work of waiting requests against the engine that suits them

Cause: requests whose home engine was busy waited for it up to 6.9 s while others were idle, and every wait looked the same for all of them. A server chosen twice in one pick could be null the second time (processes ended with 139). Change: a run of the scheduler promises waiting work to servers in the order of service; the accepted server is granted.

--- a/src/dispatch/GrantScheduler.cpp
+++ b/src/dispatch/GrantScheduler.cpp
@@ -20,6 +20,7 @@
         }
     }
     grantSuspects(floor, now);
+    m_state.selector.startRun();
     while (m_state.pool.hasChoice(now)) {
         if (!grantGuaranteed(floor, now) && !grantByTier(floor, now)) {
             return;
@@ -117,13 +118,17 @@
 
 bool GrantScheduler::grantFrom(TierQueue& queue, bool guaranteed, MonotonicTime now)
 {
-    const auto* picked = queue.pick(now, m_state.times.firstToken(),
-        [&](const WaitingRequest& it) { return m_state.selector.choose(it, now) != nullptr; });
+    // What suits a request depends on those that were looked at before it, so each is asked for once.
+    absl::flat_hash_map<const WaitingRequest*, ServerState*> servers;
+    const auto* picked = queue.pick(now, m_state.times.firstToken(), [&](const WaitingRequest& it) {
+        auto* server = m_state.selector.choose(it, now);
+        servers[&it] = server;
+        return server != nullptr;
+    });
     if (!picked) {
         return false;
     }
-    auto* server = m_state.selector.choose(*picked, now);
-    grant(queue.remove(picked->place.request), *server, guaranteed, now);
+    grant(queue.remove(picked->place.request), *servers.at(picked), guaranteed, now);
     return true;
 }
 
--- a/src/dispatch/PromptPlacement.cpp
+++ b/src/dispatch/PromptPlacement.cpp
@@ -78,7 +78,9 @@
     ServerState& state, const WaitingRequest& waiting, MonotonicTime now) const
 {
     auto uncached = uncachedTokens(state, waiting.place);
-    auto unread = Tokens { static_cast<std::int64_t>(state.pendingWork) };
+    bool promisedHere = waiting.promisedRun == m_run && waiting.promisedTo == &state;
+    auto ahead = state.pendingWork + state.promisedWork - (promisedHere ? static_cast<double>(uncached.count) : 0);
+    auto unread = Tokens { static_cast<std::int64_t>(std::max(0.0, ahead)) };
     auto time = readingTime(state, uncached + unread);
     if (!state.awaitingFirstByte.empty()) {
         // A request that still waits for its first byte shows a slowdown before any response can.
@@ -117,9 +119,22 @@
             best = choice;
         }
     }
+    if (best.server && !best.mayStart && waiting.promisedRun != m_run) {
+        waiting.promisedRun = m_run;
+        waiting.promisedTo = best.server;
+        best.server->promisedWork += static_cast<double>(uncachedTokens(*best.server, waiting.place).count);
+    }
     return best.mayStart ? best.server : nullptr;
 }
 
+void PromptPlacement::startRun()
+{
+    ++m_run;
+    for (auto& [id, state] : m_pool.servers()) {
+        state.promisedWork = 0;
+    }
+}
+
 // A lane stays one as long as it can; they change by one at a time.
 void PromptPlacement::adjustLanes(MonotonicTime now)
 {
--- a/src/dispatch/PromptPlacement.h
+++ b/src/dispatch/PromptPlacement.h
@@ -23,6 +23,8 @@
     {
     }
 
+    // Begins a run of the scheduler, which asks for one waiting request after the other in the order of service.
+    void startRun();
     // The engine for the request, or null when none may take it now: it waits for the one that suits it.
     ServerState* choose(const WaitingRequest&, bool excludedAll, MonotonicTime now);
     static Tokens uncachedTokens(const ServerState&, const PlaceRequest&);
@@ -48,6 +50,7 @@
 
     ServerPool& m_pool;
     const DispatchOptions& m_options;
+    std::uint64_t m_run = 0;
     std::set<BackendServerId> m_lanes;
     MonotonicTime m_lanesAdjusted {};
 };
--- a/src/dispatch/ServerSelector.h
+++ b/src/dispatch/ServerSelector.h
@@ -16,6 +16,8 @@
     {
     }
 
+    // Begins a run of the scheduler.
+    void startRun() { m_prompts.startRun(); }
     // The server to run the request, or null when none that suits it has a free slot.
     ServerState* choose(const WaitingRequest&, MonotonicTime now);
     // An empty server for a suspect request; otherwise keeps one free for it and gives null.
--- a/src/dispatch/ServerState.h
+++ b/src/dispatch/ServerState.h
@@ -53,6 +53,7 @@
     PrefixCache cache; // by what was sent to the engine
     int gapSensitive = 0; // requests in flight whose class has a short gap target
     double pendingWork = 0; // prompt work of requests without a first byte
+    double promisedWork = 0; // prompt work of waiting requests that suit this server best, in the current run
     std::multiset<MonotonicTime> awaitingFirstByte; // grant times of requests without a first byte
     std::optional<MonotonicTime> diedAt; // grants up to then ended with the death
     MonotonicTime lastSlowTrial {};
--- a/src/dispatch/WaitingRequest.h
+++ b/src/dispatch/WaitingRequest.h
@@ -7,6 +7,8 @@
 
 namespace lagoonspoke {
 
+class ServerState;
+
 // A placement request in the queue of a dispatcher.
 struct WaitingRequest {
     InstanceId entry;
@@ -20,6 +22,8 @@
     std::int64_t predictedOutput = 0;
     bool late = false; // the target can no longer be met
     bool gapSensitive = false; // its class has a short gap target
+    mutable std::uint64_t promisedRun = 0; // the scheduler's run in which it was promised to a server
+    mutable const ServerState* promisedTo = nullptr; // in that run
 };
 
 using WaitingPtr = std::unique_ptr<WaitingRequest>;
