--- a/src/daemon/PeerService.cpp
+++ b/src/daemon/PeerService.cpp
@@ -34,6 +34,7 @@
     spawn(m_state->receiveDatagrams());
     if (m_state->source) {
         m_state->source->start(m_state->io, address(), m_state->makeSink());
+        spawn(m_state->askForServers());
     }
     m_state->scheduleWakeup();
 }
@@ -52,6 +53,7 @@
     m_state->timer.cancel();
     if (m_state->source) {
         m_state->source->stop();
+        m_state->askTimer.cancel();
     }
     for (auto& [peer, link] : m_state->links) {
         link->close();
@@ -83,12 +85,7 @@
 
 void PeerService::send(const InstanceId& to, PeerChannel channel, std::string payload)
 {
-    for (const auto& member : members()) {
-        if (member.id == to && member.state != MemberState::Dead) {
-            m_state->sendFrame(to, member.peerAddress, channel, std::move(payload));
-            return;
-        }
-    }
+    m_state->sendTo(to, channel, std::move(payload));
 }
 
 void PeerService::publish(Rumour rumour)
--- a/src/daemon/PeerService.h
+++ b/src/daemon/PeerService.h
@@ -23,6 +23,7 @@
     Usage,
     HandOver,
     Fleet,
+    Directory, // PeerService's own: backend servers, for instances that cannot read them
 };
 
 // Membership and message links between the instances. Owned by the Daemon; used on the control thread only.
--- a/src/daemon/PeerServiceState.cpp
+++ b/src/daemon/PeerServiceState.cpp
@@ -1,10 +1,12 @@
 #include "daemon/PeerServiceState.h"
 
+#include <algorithm>
 #include <random>
 
 #include "http/Endpoint.h"
 #include "lagoonspoke/core/Overload.h"
 #include "observe/LogLine.h"
+#include "wire/ConfigurationCodec.h"
 #include "wire/MembershipCodec.h"
 
 namespace lagoonspoke {
@@ -13,6 +15,8 @@
 
 using namespace std::chrono_literals;
 
+constexpr Duration askInterval = 400ms; // while the store cannot be read
+constexpr std::size_t askedPeers = 2;
 constexpr Duration acceptRetry = 100ms; // when the process has no descriptor left
 
 Membership::Options makeMembershipOptions(const DaemonSettings& settings, const std::string& address)
@@ -35,6 +39,7 @@
     , membership(Membership::Make(makeMembershipOptions(settings, formatEndpoint(this->ports.endpoint()))))
     , source(std::move(instanceDirectory))
     , timer(io)
+    , askTimer(io)
 {
 }
 
@@ -123,6 +128,8 @@
         if (auto message = decodeMembershipMessage(frame.payload)) {
             handle(MembershipReceived { std::move(*message) });
         }
+    } else if (channel == PeerChannel::Directory) {
+        receiveDirectory(from.instance, frame.payload);
     } else if (auto it = receivers.find(channel); it != receivers.end()) {
         it->second(from.instance, frame.payload);
     }
@@ -247,13 +254,70 @@
     sink.servers = [weak](std::vector<BackendServer> servers) {
         if (auto self = weak.lock(); self && !self->stopped) {
             self->serversRead = true;
-            for (const auto& rumour : self->directory.setList(std::move(servers))) {
+            auto rumours = self->directory.setList(std::move(servers));
+            for (const auto& rumour : rumours) {
                 self->handle(RumourPublished { rumour });
             }
+            if (!rumours.empty()) {
+                self->handle(NewsUrgent {});
+            }
             self->notifyServers();
         }
     };
     return sink;
 }
 
+asio::awaitable<void> PeerService::State::askForServers()
+{
+    std::minstd_rand random { std::random_device {}() };
+    while (!stopped) {
+        if (source->isCutOff()) {
+            std::vector<InstanceId> peers;
+            for (const auto& member : membership.members()) {
+                if (member.id != settings.instance && member.state != MemberState::Dead) {
+                    peers.push_back(member.id);
+                }
+            }
+            std::ranges::shuffle(peers, random);
+            peers.resize(std::min(peers.size(), askedPeers));
+            for (const auto& peer : peers) {
+                sendTo(peer, PeerChannel::Directory, encodeConfigurationMessage(HeadNotice { 0, {}, true }));
+            }
+        }
+        askTimer.expires_after(askInterval);
+        co_await askTimer.async_wait(useTuple);
+    }
+}
+
+void PeerService::State::receiveDirectory(const InstanceId& from, std::string_view payload)
+{
+    auto message = decodeConfigurationMessage(payload);
+    if (!message || !source) {
+        LogLine(LogLevel::Warning, "peer_message_refused").add("peer", from.value()).add("channel", "directory");
+        return;
+    }
+    if (std::holds_alternative<HeadNotice>(*message)) {
+        // What a cut-off instance knows is no help to another.
+        if (auto text = source->isCutOff() ? std::string() : source->shareServers(); !text.empty()) {
+            sendTo(from, PeerChannel::Directory, encodeConfigurationMessage(BlobReply { {}, std::move(text) }));
+        }
+    } else if (const auto* reply = std::get_if<BlobReply>(&*message); reply && reply->content) {
+        if (auto heard = source->hearServers(*reply->content); !heard) {
+            LogLine(LogLevel::Warning, "peer_message_refused")
+                .add("peer", from.value())
+                .add("error", heard.error().message);
+        }
+    }
+}
+
+void PeerService::State::sendTo(const InstanceId& to, PeerChannel channel, std::string payload)
+{
+    for (const auto& member : membership.members()) {
+        if (member.id == to && member.state != MemberState::Dead) {
+            sendFrame(to, member.peerAddress, channel, std::move(payload));
+            return;
+        }
+    }
+}
+
 } // namespace lagoonspoke
--- a/src/daemon/PeerServiceState.h
+++ b/src/daemon/PeerServiceState.h
@@ -25,12 +25,17 @@
     void scheduleWakeup();
     void noteGreeting(const HelloFrame&);
     void receive(const HelloFrame& from, PayloadFrame);
+    // Drops the message when the peer is not known to live.
+    void sendTo(const InstanceId&, PeerChannel, std::string payload);
     void sendFrame(const InstanceId& to, const std::string& address, PeerChannel, std::string payload);
     std::shared_ptr<PeerLink> linkTo(const InstanceId&, const std::string& address);
     void dropStaleLinks();
     void notifyServers();
 
     InstanceDirectory::Sink makeSink();
+    // Asks some peers for the backend servers while the directory is cut off.
+    asio::awaitable<void> askForServers();
+    void receiveDirectory(const InstanceId& from, std::string_view payload);
 
     asio::awaitable<void> acceptLinks();
     asio::awaitable<void> receiveDatagrams();
@@ -42,6 +47,7 @@
     InstanceDirectoryPtr source; // null without one
     ServerDirectory directory;
     asio::steady_timer timer;
+    asio::steady_timer askTimer;
     std::map<InstanceId, std::shared_ptr<PeerLink>> links;
     std::set<std::shared_ptr<PeerSession>> sessions; // accepted
     std::map<PeerChannel, Receiver> receivers;
--- a/src/daemon/ServerDirectory.cpp
+++ b/src/daemon/ServerDirectory.cpp
@@ -22,6 +22,12 @@
         // The list lags, so a server that is known to leave does not come back while it is listed.
         server.leaving = m_leaving.contains(server.id);
     }
+    for (const auto& server : m_servers) {
+        // Instances that cannot read the list must not use a server that is gone.
+        if (!listed.contains(server.id) && !m_leaving.contains(server.id)) {
+            rumours.push_back({ std::string(leavingPrefix) + server.id.value(), 1, "" });
+        }
+    }
     std::erase_if(m_leaving, [&](const BackendServerId& id) { return !listed.contains(id); });
     if (servers != m_servers) {
         m_servers = std::move(servers);
--- a/src/daemon/ServerDirectory.h
+++ b/src/daemon/ServerDirectory.h
@@ -12,7 +12,7 @@
 // learns of a leaving server tells the others. Owned by PeerService.
 class ServerDirectory {
 public:
-    // Takes the instance list's servers. Gives a rumour for each server that is newly known to leave.
+    // Takes the instance list's servers. Gives a rumour for each server that is newly known to leave or to be gone.
     std::vector<Rumour> setList(std::vector<BackendServer>);
     // Whether the rumour names a leaving server that was not known to leave.
     bool hear(const Rumour&);
--- a/src/daemon/UsageService.cpp
+++ b/src/daemon/UsageService.cpp
@@ -29,6 +29,8 @@
     UsageSealer::Options options;
     // Short windows are used in demonstrations, which should not wait longer for a seal than for a window.
     options.grace = std::min(service.sealGrace, service.window);
+    options.window = service.window;
+    options.latest = service.sealLatest;
     options.reportsWholeWindows = reporter && reporter->takesWholeWindows();
     return UsageSealer::Make(options);
 }
@@ -76,6 +78,7 @@
     , m_ledger(makeLedger(m_options.writer, m_options.window))
     , m_sealer(makeSealer(m_options, m_reporter))
     , m_timer(io)
+    , m_clock({})
 {
     readClock();
 }
@@ -103,7 +106,8 @@
 
 void UsageService::readClock()
 {
-    auto now = std::chrono::system_clock::now().time_since_epoch();
+    auto now = m_clock.read(
+        std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch()), readMonotonicClock());
     auto window = static_cast<WindowNumber>(now / m_options.window);
     execute(m_ledger.handle(UsageWindowOpened { window }, readMonotonicClock()));
     execute(m_sealer.handle(UsageClockRead { window, now % m_options.window }, readMonotonicClock()));
--- a/src/daemon/UsageService.h
+++ b/src/daemon/UsageService.h
@@ -10,6 +10,7 @@
 #include "external/ObjectStore.h"
 #include "external/UsageReporter.h"
 #include "usage/UsageLedger.h"
+#include "usage/SteadyWallClock.h"
 #include "usage/UsageSealer.h"
 
 namespace lagoonspoke {
@@ -26,6 +27,8 @@
         Duration window = std::chrono::seconds(60);
         // Time after the end of a window for the instances to write their records.
         Duration sealGrace = std::chrono::seconds(5);
+        // The same at most, after an outage or a change of the holder.
+        Duration sealLatest = std::chrono::hours(1);
     };
     using SendToPeer = std::function<void(const InstanceId&, std::string payload)>;
     using MayAct = std::function<std::optional<FencingToken>()>;
@@ -81,6 +84,7 @@
     UsageLedger m_ledger;
     UsageSealer m_sealer;
     asio::steady_timer m_timer;
+    SteadyWallClock m_clock;
     std::map<std::uint64_t, std::shared_ptr<Waiting>> m_waiting;
     std::uint64_t m_lastWaiter = 0;
     std::map<InstanceId, std::uint64_t> m_incarnations; // of members that are not dead
--- a/src/entry/RequestConclusion.cpp
+++ b/src/entry/RequestConclusion.cpp
@@ -39,6 +39,7 @@
         m_lastReport = now;
     }
     if (!m_firstToken) {
+        countStart();
         m_firstToken = now - m_arrival;
         m_series->firstToken.Observe(toSeconds(*m_firstToken));
     } else if (tokens > 0) {
@@ -69,6 +70,13 @@
     }
 }
 
+void RequestRunner::countStart()
+{
+    if (m_services.settings.countsUsageAtStart && m_services.usageSink && m_request.team) {
+        asio::co_spawn(m_exchange.socket().get_executor(), m_services.usageSink(makeUsage(false)), asio::detached);
+    }
+}
+
 UsageRecord RequestRunner::makeUsage(bool completed) const
 {
     const auto& tokens = m_relay.tokens();
@@ -84,7 +92,8 @@
 
 asio::awaitable<void> RequestRunner::recordUsage()
 {
-    if (!m_services.usageSink || !m_request.team || m_relay.status() >= 400) {
+    if (!m_services.usageSink || !m_request.team || m_relay.status() >= 400
+        || m_services.settings.countsUsageAtStart) {
         co_return;
     }
     auto executor = m_exchange.socket().get_executor();
@@ -143,7 +152,8 @@
     m_concluding = true;
     bool completed = m_code == "ok" || m_code == "server_error";
     auto output = m_relay.tokens().output();
-    if (!completed && m_machine.callerReached() && m_services.usageSink && m_request.team) {
+    bool countsEnd = !m_services.settings.countsUsageAtStart && m_services.usageSink && m_request.team;
+    if (!completed && m_machine.callerReached() && countsEnd) {
         asio::co_spawn(m_exchange.socket().get_executor(), m_services.usageSink(makeUsage(false)), asio::detached);
     }
     auto total = readMonotonicClock() - m_arrival;
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -85,6 +85,8 @@
     PlaceRequest makePlaceRequest(const AskForGrant&) const;
     Duration remaining() const;
     Progress makeProgress() const;
+    // Counts the request as begun, where usage goes by that.
+    void countStart();
     UsageRecord makeUsage(bool completed) const;
     asio::awaitable<void> recordUsage();
     void conclude();
--- a/src/external/CollectionDirectory.cpp
+++ b/src/external/CollectionDirectory.cpp
@@ -106,6 +106,47 @@
     }
 }
 
+bool CollectionDirectory::isCutOff() const
+{
+    return m_watcher && (!m_watcher->follower().isReachable() || !m_watcher->follower().isKnown());
+}
+
+std::string CollectionDirectory::shareServers() const
+{
+    if (!m_watcher || !m_watcher->follower().isKnown()) {
+        return {};
+    }
+    boost::json::array items;
+    for (const auto& [name, value] : m_watcher->follower().items()) {
+        items.push_back(boost::json::object { { "name", name }, { "value", value } });
+    }
+    return boost::json::serialize(
+        boost::json::object { { "revision", m_watcher->follower().revision() }, { "items", std::move(items) } });
+}
+
+Outcome<void> CollectionDirectory::hearServers(std::string_view text)
+{
+    auto value = parseJson(text);
+    if (!value) {
+        return tl::make_unexpected(value.error());
+    }
+    std::vector<Error> errors;
+    JsonReader reader(*value, "", errors);
+    CollectionList list;
+    list.revision = static_cast<std::uint64_t>(
+        reader.readInteger("revision", 0, std::numeric_limits<std::int64_t>::max()));
+    for (auto& it : reader.readObjects("items")) {
+        list.items.push_back({ it.readString("name"), it.readString("value") });
+    }
+    if (!errors.empty()) {
+        return makeError(ErrorCode::ProtocolViolation, formatErrors(errors));
+    }
+    if (m_watcher) {
+        m_watcher->hear(std::move(list));
+    }
+    return {};
+}
+
 void CollectionDirectory::State::applyServers(
     const std::map<std::string, std::string>& items, const DecodeServer& decode)
 {
--- a/src/external/CollectionDirectory.h
+++ b/src/external/CollectionDirectory.h
@@ -27,6 +27,9 @@
 
     void start(asio::io_context&, const std::string& peerAddress, Sink) override;
     void stop() override;
+    bool isCutOff() const override;
+    std::string shareServers() const override;
+    Outcome<void> hearServers(std::string_view) override;
 
 private:
     struct State;
--- a/src/external/CollectionFollower.cpp
+++ b/src/external/CollectionFollower.cpp
@@ -55,8 +55,22 @@
 void CollectionFollower::take(CollectionListed listed, MonotonicTime now)
 {
     noteAnswer(now);
+    replaceItems(std::move(listed.list), now);
+    watch();
+}
+
+void CollectionFollower::take(CollectionHeard heard, MonotonicTime now)
+{
+    // The store's own word counts for more while it can be had.
+    if ((!m_reachable || !m_known) && heard.list.revision > m_revision) {
+        replaceItems(std::move(heard.list), now);
+    }
+}
+
+void CollectionFollower::replaceItems(CollectionList list, MonotonicTime now)
+{
     std::set<std::string> names;
-    for (auto& item : listed.list.items) {
+    for (auto& item : list.items) {
         names.insert(item.name);
         put(std::move(item));
     }
@@ -71,8 +85,7 @@
     }
     m_changed = m_changed || !m_known;
     m_known = true;
-    m_revision = listed.list.revision;
-    watch();
+    m_revision = list.revision;
 }
 
 void CollectionFollower::take(CollectionWatched watched, MonotonicTime now)
--- a/src/external/CollectionFollower.h
+++ b/src/external/CollectionFollower.h
@@ -22,8 +22,13 @@
     Error error;
 };
 
+// The collection as a peer knows it.
+struct CollectionHeard {
+    CollectionList list;
+};
+
 using CollectionEvent
-    = std::variant<CollectionListed, CollectionWatched, CollectionHistoryLost, CollectionCallFailed>;
+    = std::variant<CollectionListed, CollectionWatched, CollectionHistoryLost, CollectionCallFailed, CollectionHeard>;
 
 struct ListCollection { };
 struct WatchCollection {
@@ -62,6 +67,7 @@
     const std::map<std::string, std::string>& items() const { return m_items; }
     // Whether the collection was read at least once.
     bool isKnown() const { return m_known; }
+    bool isReachable() const { return m_reachable; }
     std::uint64_t revision() const { return m_revision; }
 
 private:
@@ -69,6 +75,8 @@
     void take(CollectionWatched, MonotonicTime now);
     void take(const CollectionHistoryLost&, MonotonicTime now);
     void take(const CollectionCallFailed&, MonotonicTime now);
+    void take(CollectionHeard, MonotonicTime now);
+    void replaceItems(CollectionList, MonotonicTime now);
     void noteAnswer(MonotonicTime now);
     void put(CollectionItem);
     void remove(const std::string& name, MonotonicTime now);
--- a/src/external/CollectionWatcher.cpp
+++ b/src/external/CollectionWatcher.cpp
@@ -121,6 +121,11 @@
     m_state->timer.cancel();
 }
 
+void CollectionWatcher::hear(CollectionList list)
+{
+    m_state->feed(CollectionHeard { std::move(list) });
+}
+
 const CollectionFollower& CollectionWatcher::follower() const
 {
     return m_state->follower;
--- a/src/external/CollectionWatcher.h
+++ b/src/external/CollectionWatcher.h
@@ -24,6 +24,8 @@
     // Makes no further call and runs no callback afterwards.
     void stop();
 
+    // The collection as a peer knows it.
+    void hear(CollectionList);
     const CollectionFollower& follower() const;
 
 private:
--- a/src/external/InstanceDirectory.h
+++ b/src/external/InstanceDirectory.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "http/Asio.h"
+#include "lagoonspoke/core/Error.h"
 #include "lagoonspoke/dispatch/BackendServer.h"
 #include "lagoonspoke/membership/Member.h"
 
@@ -26,6 +27,13 @@
     virtual void start(asio::io_context&, const std::string& peerAddress, Sink) = 0;
     // Calls the sink no more.
     virtual void stop() = 0;
+
+    // Whether the backend servers cannot be read at the moment, so that peers are asked for what they know.
+    virtual bool isCutOff() const { return false; }
+    // The backend servers as read last, for a peer that is cut off; empty when there is nothing to share.
+    virtual std::string shareServers() const { return {}; }
+    // What a peer shared. Errors: ProtocolViolation.
+    virtual Outcome<void> hearServers(std::string_view) { return {}; }
 };
 
 using InstanceDirectoryPtr = std::shared_ptr<InstanceDirectory>;
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -19,6 +19,8 @@
 constexpr Duration syncInterval = 10s;
 // A leaving member tells this many others itself.
 constexpr std::size_t leaveFanOut = 16;
+// Urgent news goes to this many at once; probes carry it on.
+constexpr std::size_t newsFanOut = 12;
 constexpr std::size_t newsOverheadBytes = 72; // tables and offsets of one rumour
 
 } // namespace
@@ -50,6 +52,7 @@
                        std::erase_if(m_deadSince, [&](const auto& it) { return !m_table.find(it.first); });
                    },
                    [&](const LeaveRequested&) { leave(); },
+                   [&](const NewsUrgent&) { pushNews(now); },
                    [&](const RumourPublished& published) {
                        if (m_rumours.put(published.rumour, now)) {
                            spreadRumour(published.rumour);
@@ -268,11 +271,21 @@
     m_table.setSelf(self().incarnation + 1, MemberState::Leaving);
     m_membersChanged = true;
     spreadMember(self().id);
+    probeSome(leaveFanOut, m_lastCall);
+}
+
+void Membership::pushNews(MonotonicTime now)
+{
+    probeSome(newsFanOut, now);
+}
+
+void Membership::probeSome(std::size_t count, MonotonicTime now)
+{
     auto peers = regionPeers();
     std::ranges::shuffle(peers, m_random);
-    peers.resize(std::min(peers.size(), leaveFanOut));
+    peers.resize(std::min(peers.size(), count));
     for (const auto* peer : peers) {
-        sendProbe(*peer, ProbeKind::Check, m_lastCall);
+        sendProbe(*peer, ProbeKind::Check, now);
     }
 }
 
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -33,7 +33,10 @@
     Rumour rumour;
 };
 
-using MembershipEvent = std::variant<MembershipReceived, MemberMet, CandidatesChanged, LeaveRequested, RumourPublished>;
+// The rumours published last go to a few members at once, without waiting for the next probes.
+struct NewsUrgent { };
+
+using MembershipEvent = std::variant<MembershipReceived, MemberMet, CandidatesChanged, LeaveRequested, RumourPublished, NewsUrgent>;
 
 struct SendMembership {
     InstanceId to;
@@ -115,6 +118,9 @@
     void hearRumour(const Rumour&, MonotonicTime now, bool spread);
     void spreadRumour(const Rumour&);
     void leave();
+    void pushNews(MonotonicTime now);
+    // Probes some members of the region without consequence; the probes carry news.
+    void probeSome(std::size_t count, MonotonicTime now);
 
     void notePause(MonotonicTime now);
     void startRound(MonotonicTime now);
--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -68,6 +68,7 @@
         = reader.readBool("finishes_withdrawn_requests", settings.finishesWithdrawnRequests);
     settings.refusesKeysWhenIsolated
         = reader.readBool("refuses_keys_when_isolated", settings.refusesKeysWhenIsolated);
+    settings.countsUsageAtStart = reader.readBool("counts_usage_at_start", settings.countsUsageAtStart);
     settings.answersIdleTimeout = reader.readBool("answers_idle_timeout", settings.answersIdleTimeout);
     settings.leaseTerm = reader.readMilliseconds("lease_term_ms", 1s, 1min, settings.leaseTerm);
     settings.usageReportBound = reader.readMilliseconds("usage_report_bound_ms", 1s, 1h, settings.usageReportBound);
--- a/src/settings/DaemonSettings.h
+++ b/src/settings/DaemonSettings.h
@@ -54,6 +54,8 @@
     bool finishesWithdrawnRequests = false;
     // Whether keys are refused while the instance cannot know of withdrawals.
     bool refusesKeysWhenIsolated = true;
+    // Whether usage counts a request when its answer begins, instead of its tokens at the end.
+    bool countsUsageAtStart = false;
     // Whether a caller's connection without a request in time gets an error before it closes.
     bool answersIdleTimeout = true;
     // Instances to join, IP:port, besides those of the instance list.
--- a/src/usage/UsageSealer.cpp
+++ b/src/usage/UsageSealer.cpp
@@ -76,7 +76,9 @@
 {
     auto next = m_last.window + 1;
     bool ended = m_clock->window > next + 1 || (m_clock->window == next + 1 && m_clock->elapsed >= m_options.grace);
-    return ended && m_now >= m_sealNotBefore;
+    bool isLate = m_options.window > Duration(0)
+        && m_clock->elapsed + (m_clock->window - next - 1) * m_options.window >= m_options.latest;
+    return ended && (isLate || m_now >= m_sealNotBefore);
 }
 
 bool UsageSealer::isRemovalDue() const
--- a/src/usage/UsageSealer.h
+++ b/src/usage/UsageSealer.h
@@ -30,6 +30,9 @@
         // Time after the end of a window, and after an outage, for the instances to write their records.
         Duration grace = std::chrono::seconds(5);
         Duration retryInterval = std::chrono::seconds(1);
+        Duration window {}; // length of a window; zero when nothing depends on it
+        // Time after the end of a window at which it is sealed in any case, so that its report is not late.
+        Duration latest = std::chrono::hours(1);
         // Reported windows whose objects stay in the object store. Only a sealer that was paused, between the check of
         // its lease and a write, for longer than this many windows could seal a deleted window a second time.
         WindowNumber retention = 120;
