--- a/src/daemon/CapacityService.h
+++ b/src/daemon/CapacityService.h
@@ -4,11 +4,12 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "external/CapacityOrders.h"
-#include "fleet/FleetPlanner.h"
-#include "lagoonspoke/dispatch/BackendServer.h"
+#include "fleet/CapacityPlanner.h"
+#include "lagoonspoke/config/ConfigurationSnapshot.h"
 
 namespace lagoonspoke {
 
@@ -22,20 +23,30 @@
     CapacityService(asio::io_context&, std::vector<DataCentreId>, CapacityOrdersPtr, MayAct);
 
     void start();
-    void stop() { m_timer.cancel(); }
+    void stop();
+    void applySnapshot(SnapshotPtr);
     // The lease of the data centre was gained, or lost when there is no token.
     void applyLease(const DataCentreId&, std::optional<FencingToken>);
-    // The whole list of backend servers. A leaving cheap server is taken as evicted.
-    void applyServers(const std::vector<BackendServer>&);
-    // Measured load of one target over all data centres. Targets without a demand are left alone.
-    void applyDemand(const TargetName&, const FleetDemand&);
+    // The whole list of backend servers.
+    void applyServers(std::vector<BackendServer>);
 
 private:
+    void adjustAll();
+    void adjust(const DeploymentSpec&, const DataCentreId&, FencingToken);
+    // The orders are for one target and data centre; the last of them ends their sending.
+    asio::awaitable<void> giveAll(std::vector<CapacityOrder>);
+    asio::awaitable<void> give(const CapacityOrder&);
+
     asio::io_context& m_io;
     std::vector<DataCentreId> m_dataCentres;
     CapacityOrdersPtr m_orders;
     MayAct m_mayAct;
     asio::steady_timer m_timer;
+    SnapshotPtr m_snapshot;
+    std::map<TargetName, CapacityPlanner> m_planners;
+    std::optional<std::vector<BackendServer>> m_servers; // none before the first list
+    std::set<std::pair<TargetName, DataCentreId>> m_sending;
+    bool m_stopped = false;
 };
 
 } // namespace lagoonspoke
--- a/src/daemon/StoreServices.cpp
+++ b/src/daemon/StoreServices.cpp
@@ -34,16 +34,6 @@
     return options;
 }
 
-ConfigurationService::Callbacks makeConfigurationCallbacks(
-    DemandService& demand, const StoreServices::Callbacks& callbacks)
-{
-    return { [&demand, &callbacks](SnapshotPtr snapshot) {
-                demand.applySnapshot(snapshot);
-                callbacks.applySnapshot(std::move(snapshot));
-            },
-        [&callbacks](bool allowed) { callbacks.setKeyedAdmission(allowed); } };
-}
-
 } // namespace
 
 StoreServices::StoreServices(asio::io_context& io, const DaemonSettings& settings,
@@ -70,7 +60,15 @@
 
 void StoreServices::openConfiguration(asio::io_context& io, const ExternalInterfaces& interfaces)
 {
-    auto callbacks = makeConfigurationCallbacks(m_demand, m_callbacks);
+    ConfigurationService::Callbacks callbacks;
+    callbacks.applySnapshot = [this](SnapshotPtr snapshot) {
+        m_demand.applySnapshot(snapshot);
+        if (m_capacity) {
+            m_capacity->applySnapshot(snapshot);
+        }
+        m_callbacks.applySnapshot(std::move(snapshot));
+    };
+    callbacks.setKeyedAdmission = [this](bool allowed) { m_callbacks.setKeyedAdmission(allowed); };
     auto peers = ConfigurationPeers::Make(&m_peers);
     if (const auto& document = interfaces.document) {
         DocumentService::Options options { m_settings.instance, document->name, {} };
@@ -128,7 +126,7 @@
 
 bool StoreServices::holdsFleetLease() const
 {
-    return (m_fleet || m_capacity) && std::ranges::any_of(m_dataCentres, [this](const DataCentreId& it) {
+    return m_fleet && std::ranges::any_of(m_dataCentres, [this](const DataCentreId& it) {
         return m_leases.isHolder(LeaseService::fleetLease(it));
     });
 }
@@ -141,8 +139,6 @@
     callbacks.applyDemand = [this](const TargetName& target, const FleetDemand& demand) {
         if (m_fleet) {
             m_fleet->applyDemand(target, demand);
-        } else if (m_capacity) {
-            m_capacity->applyDemand(target, demand);
         }
     };
     callbacks.applyBusy = [this](std::map<BackendServerId, int> busy) {
