Let two instances of each data centre read the store in large fleets, and save calls on usage and leases

Change: ReaderRoles and ServerListExchange (changes and a heartbeat to the listeners, full lists on request, every instance reads for itself in fleets of 16 or fewer, or when its readers are silent for 1.3 s); the configuration document follows the same roles; usage records come with the list, seals are looked for when they are due; leases are renewed at three tenths of their term.

--- a/src/config/DocumentFollower.cpp
+++ b/src/config/DocumentFollower.cpp
@@ -26,6 +26,10 @@
                        }
                    },
                    [&](const DocumentReceived& it) { take(it.text, now); },
+                   [&](const DocumentRoleChanged& it) {
+                       m_reads = it.reads;
+                       m_listeners = it.listeners;
+                   },
                },
         event);
     return advance(now);
@@ -37,20 +41,34 @@
         m_actions.emplace_back(AskForDocument { m_newer->peer });
         m_newer->askAt = now + m_options.askInterval;
     }
-    if (isAlone() && now >= m_nextAsk && !m_peers.empty()) {
-        m_nextAsk = now + m_options.askInterval;
-        m_actions.emplace_back(TellNumber { pickPeers(m_options.askedPeers), m_number, true });
+    if (asks() && now >= m_nextAsk) {
+        askPeers(now);
     }
     return std::exchange(m_actions, {});
 }
 
+void DocumentFollower::askPeers(MonotonicTime now)
+{
+    bool alone = isAlone();
+    m_nextAsk = now + (alone ? m_options.askInterval : m_options.listenerAskInterval);
+    m_actions.emplace_back(TellNumber { pickPeers(alone ? m_options.askedPeers : 1), m_number, true });
+}
+
+std::vector<InstanceId> DocumentFollower::peersToTell()
+{
+    if (!m_reads) {
+        return {};
+    }
+    return m_listeners.empty() ? pickPeers(m_options.fanOut) : m_listeners;
+}
+
 std::optional<MonotonicTime> DocumentFollower::nextWakeup() const
 {
     std::optional<MonotonicTime> next;
     if (m_newer) {
         next = m_newer->askAt;
     }
-    if (isAlone() && !m_peers.empty()) {
+    if (asks()) {
         next = std::min(next.value_or(m_nextAsk), m_nextAsk);
     }
     return next;
@@ -77,7 +95,7 @@
         m_newer.reset();
     }
     m_nextAsk = now + m_options.askInterval;
-    if (auto peers = pickPeers(m_options.fanOut); !peers.empty()) {
+    if (auto peers = peersToTell(); !peers.empty()) {
         m_actions.emplace_back(TellNumber { std::move(peers), m_number, false });
     }
 }
@@ -86,7 +104,7 @@
 {
     if (heard.number > m_number) {
         if (!m_newer || m_newer->number < heard.number) {
-            auto headStart = m_reachable ? m_options.storeHeadStart : Duration(0);
+            auto headStart = m_reads && m_reachable ? m_options.storeHeadStart : Duration(0);
             m_newer = Newer { heard.from, heard.number, now + headStart };
         }
     } else if (heard.replyWanted && heard.number < m_number) {
--- a/src/config/DocumentFollower.h
+++ b/src/config/DocumentFollower.h
@@ -27,6 +27,11 @@
 struct DocumentPeersChanged {
     std::vector<InstanceId> peers;
 };
+// Whether this instance reads the store, and which peers live by what it tells; none where each reads for itself.
+struct DocumentRoleChanged {
+    bool reads = true;
+    std::vector<InstanceId> listeners;
+};
 // The number that a peer has in force; 0 without a configuration.
 struct DocumentNumberHeard {
     InstanceId from;
@@ -43,7 +48,7 @@
 };
 
 using DocumentEvent = std::variant<DocumentRead, DocumentStoreReachable, DocumentPeersChanged, DocumentNumberHeard,
-    DocumentWanted, DocumentReceived>;
+    DocumentWanted, DocumentReceived, DocumentRoleChanged>;
 
 struct ApplyDocument {
     SnapshotPtr snapshot;
@@ -77,6 +82,8 @@
         std::size_t fanOut = 8;
         std::size_t askedPeers = 3;
         Duration askInterval = std::chrono::milliseconds(400);
+        // An instance that does not read the store asks one peer at this interval, in case it was not told.
+        Duration listenerAskInterval = std::chrono::seconds(1);
         // The store tells most instances by itself within this time; only then a peer is asked.
         Duration storeHeadStart = std::chrono::milliseconds(150);
     };
@@ -99,7 +106,10 @@
     void take(const std::string& text, MonotonicTime now);
     void hearNumber(const DocumentNumberHeard&, MonotonicTime now);
     std::vector<InstanceId> pickPeers(std::size_t count);
-    bool isAlone() const { return !m_reachable || m_number == 0; }
+    bool isAlone() const { return (m_reads && !m_reachable) || m_number == 0; }
+    bool asks() const { return (isAlone() || !m_reads) && !m_peers.empty(); }
+    void askPeers(MonotonicTime now);
+    std::vector<InstanceId> peersToTell();
 
     Options m_options;
     DecodeDocument m_decode;
@@ -110,6 +120,8 @@
     std::string m_text;
     std::string m_refused; // the last document that could not take effect
     bool m_reachable = false;
+    bool m_reads = true;
+    std::vector<InstanceId> m_listeners;
     std::optional<Newer> m_newer; // a number above ours that a peer has
     MonotonicTime m_nextAsk {};
 };
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -137,6 +137,11 @@
             m_storeServices->handleMembers();
         }
     });
+    m_peers->setRoleChanged([this] {
+        if (m_storeServices) {
+            m_storeServices->handleMembers();
+        }
+    });
     m_peers->setRumourReceiver([this](const Rumour& rumour) {
         m_control->handleRumour(rumour);
         if (m_storeServices) {
--- a/src/daemon/DocumentService.cpp
+++ b/src/daemon/DocumentService.cpp
@@ -146,6 +146,12 @@
     m_state->watcher->stop();
 }
 
+void DocumentService::setRole(bool reads, std::vector<InstanceId> listeners)
+{
+    m_state->watcher->tell(CollectionRoleChanged { reads });
+    m_state->feed(DocumentRoleChanged { reads, std::move(listeners) });
+}
+
 void DocumentService::handleMembers(const std::vector<Member>& members)
 {
     DocumentPeersChanged changed;
--- a/src/daemon/PeerService.cpp
+++ b/src/daemon/PeerService.cpp
@@ -33,8 +33,9 @@
     spawn(m_state->acceptLinks());
     spawn(m_state->receiveDatagrams());
     if (m_state->source) {
+        m_state->openExchange();
         m_state->source->start(m_state->io, address(), m_state->makeSink());
-        spawn(m_state->askForServers());
+        m_state->exchange->start();
     }
     m_state->scheduleWakeup();
 }
@@ -53,7 +54,7 @@
     m_state->timer.cancel();
     if (m_state->source) {
         m_state->source->stop();
-        m_state->askTimer.cancel();
+        m_state->exchange->stop();
     }
     for (auto& [peer, link] : m_state->links) {
         link->close();
@@ -63,6 +64,7 @@
     }
     m_state->receivers.clear();
     m_state->membersChanged = [] {};
+    m_state->roleChanged = [] {};
     m_state->rumourReceiver = [](const Rumour&) {};
     m_state->serversChanged = [](const auto&) {};
     m_state->peerLost = [](const InstanceId&) {};
@@ -93,6 +95,21 @@
     m_state->handle(RumourPublished { std::move(rumour) });
 }
 
+bool PeerService::readsStore() const
+{
+    return !m_state->exchange || m_state->exchange->reads();
+}
+
+std::vector<InstanceId> PeerService::listeners() const
+{
+    return m_state->exchange ? m_state->exchange->listeners() : std::vector<InstanceId>();
+}
+
+void PeerService::setRoleChanged(std::function<void()> handler)
+{
+    m_state->roleChanged = std::move(handler);
+}
+
 void PeerService::pushNews()
 {
     m_state->handle(NewsUrgent {});
--- a/src/daemon/PeerService.h
+++ b/src/daemon/PeerService.h
@@ -46,6 +46,10 @@
     bool knowsServers() const;
     // Every member that was heard of, this instance included. An instance that is only listed may be gone for long.
     const std::vector<Member>& members() const;
+    // Whether this instance reads what operators and backend servers write to the store, or lives by what peers tell.
+    bool readsStore() const;
+    // The instances that live by what this one tells.
+    std::vector<InstanceId> listeners() const;
     // Sends at best effort and in order over one link; dropped when the peer cannot be reached.
     void send(const InstanceId& to, PeerChannel, std::string payload);
     void publish(Rumour);
@@ -54,6 +58,8 @@
 
     void setReceiver(PeerChannel, Receiver);
     void setMembersChanged(std::function<void()>);
+    // Called when readsStore() changed.
+    void setRoleChanged(std::function<void()>);
     // Called for rumours of other instances only.
     void setRumourReceiver(std::function<void(const Rumour&)>);
     // Called with the whole new list of backend servers when the instance list or a rumour changed it.
--- a/src/daemon/PeerServiceState.cpp
+++ b/src/daemon/PeerServiceState.cpp
@@ -6,7 +6,6 @@
 #include "http/Endpoint.h"
 #include "lagoonspoke/core/Overload.h"
 #include "observe/LogLine.h"
-#include "wire/ConfigurationCodec.h"
 #include "wire/MembershipCodec.h"
 
 namespace lagoonspoke {
@@ -15,8 +14,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration askInterval = 400ms; // while the store cannot be read
-constexpr std::size_t askedPeers = 2;
 constexpr Duration acceptRetry = 100ms; // when the process has no descriptor left
 
 Membership::Options makeMembershipOptions(const DaemonSettings& settings, const std::string& address)
@@ -39,7 +36,6 @@
     , membership(Membership::Make(makeMembershipOptions(settings, formatEndpoint(this->ports.endpoint()))))
     , source(std::move(instanceDirectory))
     , timer(io)
-    , askTimer(io)
 {
     updateHeard();
 }
@@ -67,6 +63,9 @@
                        [&](const MembersChanged&) {
                            dropStaleLinks();
                            updateHeard();
+                           if (exchange) {
+                               exchange->setMembers(heard);
+                           }
                            membersChanged();
                        },
                        [&](const RumourHeard& it) { hearRumour(it.rumour); },
@@ -138,7 +137,9 @@
             handle(MembershipReceived { std::move(*message) });
         }
     } else if (channel == PeerChannel::Directory) {
-        receiveDirectory(from.instance, frame.payload);
+        if (exchange) {
+            exchange->receive(from.instance, frame.payload);
+        }
     } else if (auto it = receivers.find(channel); it != receivers.end()) {
         it->second(from.instance, frame.payload);
     }
@@ -263,60 +264,45 @@
     sink.servers = [weak](std::vector<BackendServer> servers) {
         if (auto self = weak.lock(); self && !self->stopped) {
             self->serversRead = true;
-            auto rumours = self->directory.setList(std::move(servers));
-            for (const auto& rumour : rumours) {
-                self->handle(RumourPublished { rumour });
-            }
-            if (!rumours.empty()) {
-                self->handle(NewsUrgent {});
-            }
-            self->notifyServers();
+            self->takeServers(std::move(servers));
         }
     };
     return sink;
 }
 
-asio::awaitable<void> PeerService::State::askForServers()
+void PeerService::State::takeServers(std::vector<BackendServer> servers)
 {
-    std::minstd_rand random { std::random_device {}() };
-    while (!stopped) {
-        if (source->isCutOff()) {
-            std::vector<InstanceId> peers;
-            for (const auto& member : membership.members()) {
-                if (member.id != settings.instance && member.state != MemberState::Dead) {
-                    peers.push_back(member.id);
-                }
-            }
-            std::ranges::shuffle(peers, random);
-            peers.resize(std::min(peers.size(), askedPeers));
-            for (const auto& peer : peers) {
-                sendTo(peer, PeerChannel::Directory, encodeConfigurationMessage(HeadNotice { 0, {}, true }));
-            }
-        }
-        askTimer.expires_after(askInterval);
-        co_await askTimer.async_wait(useTuple);
+    auto rumours = directory.setList(std::move(servers));
+    for (const auto& rumour : rumours) {
+        handle(RumourPublished { rumour });
+    }
+    // Those that read the list tell the others at once.
+    if (!rumours.empty() && exchange->reads()) {
+        handle(NewsUrgent {});
     }
+    exchange->noteServersChanged();
+    notifyServers();
 }
 
-void PeerService::State::receiveDirectory(const InstanceId& from, std::string_view payload)
+void PeerService::State::openExchange()
 {
-    auto message = decodeConfigurationMessage(payload);
-    if (!message || !source) {
-        LogLine(LogLevel::Warning, "peer_message_refused").add("peer", from.value()).add("channel", "directory");
-        return;
-    }
-    if (std::holds_alternative<HeadNotice>(*message)) {
-        // What a cut-off instance knows is no help to another.
-        if (auto text = source->isCutOff() ? std::string() : source->shareServers(); !text.empty()) {
-            sendTo(from, PeerChannel::Directory, encodeConfigurationMessage(BlobReply { {}, std::move(text) }));
+    ReaderRoles::Options options;
+    options.self = settings.instance;
+    options.dataCentre = settings.dataCentre;
+    std::weak_ptr<State> weak = weak_from_this();
+    ServerListExchange::Callbacks callbacks;
+    callbacks.send = [weak](const InstanceId& to, std::string payload) {
+        if (auto self = weak.lock()) {
+            self->sendTo(to, PeerChannel::Directory, std::move(payload));
         }
-    } else if (const auto* reply = std::get_if<BlobReply>(&*message); reply && reply->content) {
-        if (auto heard = source->hearServers(*reply->content); !heard) {
-            LogLine(LogLevel::Warning, "peer_message_refused")
-                .add("peer", from.value())
-                .add("error", heard.error().message);
+    };
+    callbacks.roleChanged = [weak](bool) {
+        if (auto self = weak.lock()) {
+            self->roleChanged();
         }
-    }
+    };
+    exchange.emplace(io, std::move(options), source, std::move(callbacks));
+    exchange->setMembers(heard);
 }
 
 void PeerService::State::sendTo(const InstanceId& to, PeerChannel channel, std::string payload)
--- a/src/daemon/PeerServiceState.h
+++ b/src/daemon/PeerServiceState.h
@@ -8,6 +8,7 @@
 #include "daemon/PeerPorts.h"
 #include "daemon/PeerService.h"
 #include "daemon/ServerDirectory.h"
+#include "daemon/ServerListExchange.h"
 #include "membership/Membership.h"
 
 namespace lagoonspoke {
@@ -34,9 +35,8 @@
     void updateHeard();
 
     InstanceDirectory::Sink makeSink();
-    // Asks some peers for the backend servers while the directory is cut off.
-    asio::awaitable<void> askForServers();
-    void receiveDirectory(const InstanceId& from, std::string_view payload);
+    void takeServers(std::vector<BackendServer>);
+    void openExchange();
 
     asio::awaitable<void> acceptLinks();
     asio::awaitable<void> receiveDatagrams();
@@ -48,12 +48,13 @@
     std::vector<Member> heard; // the members without those that are only listed
     InstanceDirectoryPtr source; // null without one
     ServerDirectory directory;
+    std::optional<ServerListExchange> exchange; // none without a source
     asio::steady_timer timer;
-    asio::steady_timer askTimer;
     std::map<InstanceId, std::shared_ptr<PeerLink>> links;
     std::set<std::shared_ptr<PeerSession>> sessions; // accepted
     std::map<PeerChannel, Receiver> receivers;
     std::function<void()> membersChanged = [] {};
+    std::function<void()> roleChanged = [] {};
     std::function<void(const Rumour&)> rumourReceiver = [](const Rumour&) {};
     std::function<void(std::vector<BackendServer>)> serversChanged = [](const auto&) {};
     std::function<void(const InstanceId&)> peerLost = [](const InstanceId&) {};
--- /dev/null
+++ b/src/daemon/ReaderRoles.cpp
@@ -0,0 +1,85 @@
+#include "daemon/ReaderRoles.h"
+
+#include <algorithm>
+
+#include "membership/Rendezvous.h"
+
+namespace lagoonspoke {
+
+namespace {
+
+constexpr std::string_view readerKey = "reader";
+
+} // namespace
+
+ReaderRoles::ReaderRoles(Options options)
+    : m_options(std::move(options))
+{
+}
+
+void ReaderRoles::setMembers(const std::vector<Member>& members, MonotonicTime now)
+{
+    std::vector<Member> near;
+    RegionId region;
+    auto total = static_cast<std::size_t>(std::ranges::count_if(members, isEligible));
+    for (const auto& member : members) {
+        if (member.dataCentre == m_options.dataCentre && isEligible(member)) {
+            near.push_back(member);
+            region = member.region;
+        }
+    }
+    auto before = std::exchange(m_readers, {});
+    m_listeners.clear();
+    if (total <= m_options.smallFleet) {
+        m_isReader = true;
+        return;
+    }
+    for (const auto* member : topMembers(readerKey, region, near, m_options.readersPerDataCentre)) {
+        auto known = std::ranges::find(before, member->id, &Reader::id);
+        m_readers.push_back({ member->id, known == before.end() ? std::nullopt : known->heard });
+    }
+    auto isOneOf = [&](const InstanceId& id) { return std::ranges::count(m_readers, id, &Reader::id) > 0; };
+    auto wasReader = std::exchange(m_isReader, isOneOf(m_options.self));
+    if (wasReader && !m_isReader) {
+        m_changedAt = now;
+    }
+    if (m_isReader) {
+        for (const auto& member : near) {
+            if (!isOneOf(member.id)) {
+                m_listeners.push_back(member.id);
+            }
+        }
+    }
+}
+
+void ReaderRoles::noteReader(const InstanceId& id, MonotonicTime now)
+{
+    if (auto it = std::ranges::find(m_readers, id, &Reader::id); it != m_readers.end()) {
+        it->heard = now;
+    }
+}
+
+bool ReaderRoles::isSilent(const Reader& reader, MonotonicTime now) const
+{
+    return now > std::max(m_changedAt, reader.heard.value_or(m_changedAt)) + m_options.silenceBound;
+}
+
+bool ReaderRoles::reads(MonotonicTime now) const
+{
+    return m_isReader || std::ranges::all_of(m_readers, [&](const Reader& it) { return isSilent(it, now); });
+}
+
+bool ReaderRoles::isFollowed(const InstanceId& id, MonotonicTime now) const
+{
+    for (const auto& reader : m_readers) {
+        if (reader.id == id) {
+            return true;
+        }
+        if (reader.heard && !isSilent(reader, now)) {
+            return false;
+        }
+    }
+    return false;
+}
+
+} // namespace lagoonspoke
--- /dev/null
+++ b/src/daemon/ReaderRoles.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "lagoonspoke/core/Time.h"
+#include "lagoonspoke/membership/Member.h"
+
+namespace lagoonspoke {
+
+// Decides which instances read a collection of the store themselves: every call is billed and a change wakes every
+// watch, so in a large fleet two instances of each data centre read it and tell the others. An instance that hears
+// nothing of them for a moment reads it as well. Pure; owned by PeerService.
+class ReaderRoles {
+public:
+    struct Options {
+        InstanceId self;
+        DataCentreId dataCentre;
+        // Up to this many instances, each reads for itself.
+        std::size_t smallFleet = 16;
+        std::size_t readersPerDataCentre = 2;
+        // Readers tell that they are there at shorter intervals than this.
+        Duration silenceBound = std::chrono::milliseconds(1300);
+    };
+
+    explicit ReaderRoles(Options);
+
+    void setMembers(const std::vector<Member>&, MonotonicTime now);
+    // A reader told what it knows.
+    void noteReader(const InstanceId&, MonotonicTime now);
+
+    bool isReader() const { return m_isReader; }
+    // Whether this instance reads now: as a reader, or because it hears of none.
+    bool reads(MonotonicTime now) const;
+    // The instances that this one tells, as a reader.
+    const std::vector<InstanceId>& listeners() const { return m_listeners; }
+    // Whether this reader's word is the one to go by; the second one's counts only while the first one is silent.
+    bool isFollowed(const InstanceId&, MonotonicTime now) const;
+
+private:
+    struct Reader {
+        InstanceId id;
+        std::optional<MonotonicTime> heard;
+    };
+
+    bool isSilent(const Reader&, MonotonicTime now) const;
+
+    Options m_options;
+    std::vector<Reader> m_readers; // of the data centre, the first choice first
+    std::vector<InstanceId> m_listeners;
+    bool m_isReader = true;
+    MonotonicTime m_changedAt {};
+};
+
+} // namespace lagoonspoke
--- a/src/daemon/StoreServices.cpp
+++ b/src/daemon/StoreServices.cpp
@@ -27,9 +27,9 @@
 {
     LeaseMachine::Options options;
     options.term = settings.leaseTerm;
-    // Three renewals may fail, or be late, before the term ends.
-    options.renewInterval = std::min(options.renewInterval, settings.leaseTerm / 4);
-    options.readInterval = std::min(options.readInterval, settings.leaseTerm / 4);
+    // Two renewals may fail, or be late, before orders end.
+    options.renewInterval = std::min(options.renewInterval, settings.leaseTerm * 3 / 10);
+    options.readInterval = std::min(options.readInterval, settings.leaseTerm / 2);
     options.orderLife = std::min(options.orderLife, settings.leaseTerm * 3 / 10);
     return options;
 }
@@ -182,6 +182,7 @@
 void StoreServices::handleMembers()
 {
     if (m_document) {
+        m_document->setRole(m_peers.readsStore(), m_peers.listeners());
         m_document->handleMembers(m_peers.members());
     } else {
         m_tickets->handleMembers(m_peers.members());
--- a/src/daemon/UsageService.cpp
+++ b/src/daemon/UsageService.cpp
@@ -16,11 +16,14 @@
 constexpr Duration clockInterval = std::chrono::milliseconds(250);
 constexpr Duration handOverPollInterval = std::chrono::milliseconds(20);
 
-UsageLedger makeLedger(const InstanceId& writer, Duration window)
+// A seal is made once the grace time has passed; it is looked for this much later.
+constexpr Duration sealPollDelay = std::chrono::milliseconds(500);
+
+UsageLedger makeLedger(const UsageService::Options& service)
 {
     UsageLedger::Options options;
-    options.writer = writer;
-    options.sealPollInterval = std::min(options.sealPollInterval, window);
+    options.writer = service.writer;
+    options.sealPollInterval = std::min(service.sealGrace, service.window) + sealPollDelay;
     return UsageLedger::Make(options);
 }
 
@@ -75,7 +78,7 @@
     , m_reporter(std::move(reporter))
     , m_send(std::move(send))
     , m_mayAct(std::move(mayAct))
-    , m_ledger(makeLedger(m_options.writer, m_options.window))
+    , m_ledger(makeLedger(m_options))
     , m_sealer(makeSealer(m_options, m_reporter))
     , m_timer(io)
     , m_clock({})
@@ -268,7 +271,7 @@
     auto answer = makeAnswer(call.call, entries);
     if (entries) {
         for (auto& entry : *entries) {
-            answer.entries.push_back({ std::move(entry.key), entry.version });
+            answer.entries.push_back({ std::move(entry.key), entry.version, std::move(entry.value) });
         }
     }
     co_return answer;
--- a/src/external/CollectionDirectory.cpp
+++ b/src/external/CollectionDirectory.cpp
@@ -88,7 +88,10 @@
     m_options.self.peerAddress = peerAddress;
     m_state = std::make_shared<State>(io, m_options, m_instances, m_store, std::move(sink));
     CollectionWatcher::Callbacks callbacks;
-    callbacks.updated = [this](const auto& items) { m_state->applyServers(items, m_decode); };
+    callbacks.updated = [this](const auto& items) {
+        noteItems(items);
+        m_state->applyServers(items, m_decode);
+    };
     m_watcher = std::make_unique<CollectionWatcher>(
         io, "servers", m_servers, m_options.follower, std::move(callbacks));
     m_watcher->start();
@@ -106,9 +109,46 @@
     }
 }
 
-bool CollectionDirectory::isCutOff() const
+void CollectionDirectory::setReading(bool reads)
 {
-    return m_watcher && (!m_watcher->follower().isReachable() || !m_watcher->follower().isKnown());
+    if (m_watcher) {
+        m_watcher->tell(CollectionRoleChanged { reads });
+    }
+}
+
+bool CollectionDirectory::isCurrent() const
+{
+    return m_watcher && m_watcher->follower().isCurrent();
+}
+
+std::uint64_t CollectionDirectory::serversRevision() const
+{
+    return m_watcher ? m_watcher->follower().itemsRevision() : 0;
+}
+
+std::string CollectionDirectory::shareLastChange() const
+{
+    return m_lastChange;
+}
+
+void CollectionDirectory::noteItems(const std::map<std::string, std::string>& items)
+{
+    boost::json::array changes;
+    for (const auto& [name, value] : items) {
+        if (auto it = m_items.find(name); it == m_items.end() || it->second != value) {
+            changes.push_back(boost::json::object { { "name", name }, { "value", value } });
+        }
+    }
+    for (const auto& [name, value] : m_items) {
+        if (!items.contains(name)) {
+            changes.push_back(boost::json::object { { "name", name }, { "removed", true } });
+        }
+    }
+    auto revision = m_watcher->follower().itemsRevision();
+    m_lastChange = boost::json::serialize(boost::json::object {
+        { "from", m_itemsRevision }, { "revision", revision }, { "items", std::move(changes) } });
+    m_items = items;
+    m_itemsRevision = revision;
 }
 
 std::string CollectionDirectory::shareServers() const
@@ -121,7 +161,7 @@
         items.push_back(boost::json::object { { "name", name }, { "value", value } });
     }
     return boost::json::serialize(
-        boost::json::object { { "revision", m_watcher->follower().revision() }, { "items", std::move(items) } });
+        boost::json::object { { "revision", m_watcher->follower().itemsRevision() }, { "items", std::move(items) } });
 }
 
 Outcome<void> CollectionDirectory::hearServers(std::string_view text)
@@ -132,18 +172,34 @@
     }
     std::vector<Error> errors;
     JsonReader reader(*value, "", errors);
-    CollectionList list;
-    list.revision = static_cast<std::uint64_t>(
-        reader.readInteger("revision", 0, std::numeric_limits<std::int64_t>::max()));
+    constexpr auto most = std::numeric_limits<std::int64_t>::max();
+    bool isChange = reader.has("from");
+    auto from = static_cast<std::uint64_t>(reader.readInteger("from", 0, most, 0));
+    CollectionChanges heard;
+    heard.revision = static_cast<std::uint64_t>(reader.readInteger("revision", 0, most));
     for (auto& it : reader.readObjects("items")) {
-        list.items.push_back({ it.readString("name"), it.readString("value") });
+        CollectionChange change { { it.readString("name"), it.readString("value", "") }, it.readBool("removed", false) };
+        heard.changes.push_back(std::move(change));
     }
     if (!errors.empty()) {
         return makeError(ErrorCode::ProtocolViolation, formatErrors(errors));
     }
-    if (m_watcher) {
-        m_watcher->hear(std::move(list));
+    if (!m_watcher) {
+        return {};
+    }
+    if (isChange) {
+        if (from != serversRevision() && heard.revision > serversRevision()) {
+            return makeError(ErrorCode::Conflict, "changes are missing in between");
+        }
+        m_watcher->tell(CollectionChangesHeard { from, std::move(heard) });
+        return {};
+    }
+    CollectionList list;
+    list.revision = heard.revision;
+    for (auto& change : heard.changes) {
+        list.items.push_back(std::move(change.item));
     }
+    m_watcher->tell(CollectionHeard { std::move(list) });
     return {};
 }
 
--- a/src/external/CollectionDirectory.h
+++ b/src/external/CollectionDirectory.h
@@ -27,19 +27,27 @@
 
     void start(asio::io_context&, const std::string& peerAddress, Sink) override;
     void stop() override;
-    bool isCutOff() const override;
+    void setReading(bool) override;
+    bool isCurrent() const override;
+    std::uint64_t serversRevision() const override;
+    std::string shareLastChange() const override;
     std::string shareServers() const override;
     Outcome<void> hearServers(std::string_view) override;
 
 private:
     struct State;
 
+    void noteItems(const std::map<std::string, std::string>&);
+
     Options m_options;
     ObjectCollectionPtr m_servers;
     DecodeServer m_decode;
     ObjectCollectionPtr m_instances;
     ObjectStorePtr m_store;
     std::unique_ptr<CollectionWatcher> m_watcher;
+    std::map<std::string, std::string> m_items; // as told last
+    std::uint64_t m_itemsRevision = 0;
+    std::string m_lastChange;
     // Shared with the coroutines of calls, which end some time after stop().
     std::shared_ptr<State> m_state;
 };
--- a/src/external/CollectionFollower.cpp
+++ b/src/external/CollectionFollower.cpp
@@ -61,12 +61,37 @@
 
 void CollectionFollower::take(CollectionHeard heard, MonotonicTime now)
 {
-    // The store's own word counts for more while it can be had.
-    if ((!m_reachable || !m_known) && heard.list.revision > m_revision) {
+    if (takesHearsay() && heard.list.revision > m_itemsRevision) {
+        auto revision = heard.list.revision;
         replaceItems(std::move(heard.list), now);
+        m_itemsRevision = revision;
     }
 }
 
+void CollectionFollower::take(CollectionChangesHeard heard, MonotonicTime now)
+{
+    if (!takesHearsay() || heard.from != m_itemsRevision) {
+        return;
+    }
+    for (auto& change : heard.changes.changes) {
+        if (change.removed) {
+            remove(change.item.name, now);
+        } else {
+            put(std::move(change.item));
+        }
+    }
+    m_itemsRevision = heard.changes.revision;
+}
+
+void CollectionFollower::take(const CollectionRoleChanged& role, MonotonicTime)
+{
+    if (role.watches && !m_watches && !m_calling) {
+        m_calling = true;
+        m_actions.emplace_back(ListCollection {});
+    }
+    m_watches = role.watches;
+}
+
 void CollectionFollower::replaceItems(CollectionList list, MonotonicTime now)
 {
     std::set<std::string> names;
@@ -141,7 +166,10 @@
 
 void CollectionFollower::watch()
 {
-    m_actions.emplace_back(WatchCollection { m_revision, m_options.watchWait });
+    m_calling = m_watches;
+    if (m_watches) {
+        m_actions.emplace_back(WatchCollection { m_revision, m_options.watchWait });
+    }
 }
 
 void CollectionFollower::dropOverdue(MonotonicTime now)
@@ -155,6 +183,7 @@
         it = m_missing.erase(it);
     }
     if (std::exchange(m_changed, false)) {
+        m_itemsRevision = std::max(m_itemsRevision, m_revision);
         m_actions.emplace_back(CollectionUpdated {});
     }
 }
--- a/src/external/CollectionFollower.h
+++ b/src/external/CollectionFollower.h
@@ -26,9 +26,19 @@
 struct CollectionHeard {
     CollectionList list;
 };
+// What changed at a peer since the revision that its items were of.
+struct CollectionChangesHeard {
+    std::uint64_t from = 0;
+    CollectionChanges changes;
+};
+// Whether to watch the store, or to live by what peers tell.
+struct CollectionRoleChanged {
+    bool watches = true;
+};
 
 using CollectionEvent
-    = std::variant<CollectionListed, CollectionWatched, CollectionHistoryLost, CollectionCallFailed, CollectionHeard>;
+    = std::variant<CollectionListed, CollectionWatched, CollectionHistoryLost, CollectionCallFailed, CollectionHeard,
+        CollectionChangesHeard, CollectionRoleChanged>;
 
 struct ListCollection { };
 struct WatchCollection {
@@ -68,6 +78,10 @@
     // Whether the collection was read at least once.
     bool isKnown() const { return m_known; }
     bool isReachable() const { return m_reachable; }
+    // Whether the items are as the store has them, by its own word.
+    bool isCurrent() const { return m_watches && m_reachable && m_known; }
+    // The revision at which the items changed last, for peers to tell whether they know them.
+    std::uint64_t itemsRevision() const { return m_itemsRevision; }
     std::uint64_t revision() const { return m_revision; }
 
 private:
@@ -76,6 +90,10 @@
     void take(const CollectionHistoryLost&, MonotonicTime now);
     void take(const CollectionCallFailed&, MonotonicTime now);
     void take(CollectionHeard, MonotonicTime now);
+    void take(CollectionChangesHeard, MonotonicTime now);
+    void take(const CollectionRoleChanged&, MonotonicTime now);
+    // Whether what peers tell counts; the store's own word counts for more while it can be had.
+    bool takesHearsay() const { return !m_watches || !m_reachable || !m_known; }
     void replaceItems(CollectionList, MonotonicTime now);
     void noteAnswer(MonotonicTime now);
     void put(CollectionItem);
@@ -88,6 +106,9 @@
     std::map<std::string, MonotonicTime> m_missing; // items that are kept until then
     std::vector<CollectionAction> m_actions;
     std::uint64_t m_revision = 0;
+    std::uint64_t m_itemsRevision = 0;
+    bool m_watches = true;
+    bool m_calling = true; // a call runs, or is about to
     bool m_known = false;
     bool m_reachable = true;
     bool m_changed = false;
--- a/src/external/CollectionWatcher.cpp
+++ b/src/external/CollectionWatcher.cpp
@@ -121,9 +121,9 @@
     m_state->timer.cancel();
 }
 
-void CollectionWatcher::hear(CollectionList list)
+void CollectionWatcher::tell(CollectionEvent event)
 {
-    m_state->feed(CollectionHeard { std::move(list) });
+    m_state->feed(std::move(event));
 }
 
 const CollectionFollower& CollectionWatcher::follower() const
--- a/src/external/CollectionWatcher.h
+++ b/src/external/CollectionWatcher.h
@@ -24,8 +24,8 @@
     // Makes no further call and runs no callback afterwards.
     void stop();
 
-    // The collection as a peer knows it.
-    void hear(CollectionList);
+    // What a peer tells, or a change of role.
+    void tell(CollectionEvent);
     const CollectionFollower& follower() const;
 
 private:
--- a/src/external/InstanceDirectory.h
+++ b/src/external/InstanceDirectory.h
@@ -28,11 +28,17 @@
     // Calls the sink no more.
     virtual void stop() = 0;
 
-    // Whether the backend servers cannot be read at the moment, so that peers are asked for what they know.
-    virtual bool isCutOff() const { return false; }
-    // The backend servers as read last, for a peer that is cut off; empty when there is nothing to share.
+    // Whether to read the backend servers, or to live by what peers share.
+    virtual void setReading(bool) { }
+    // Whether the backend servers are as read; otherwise peers are asked for what they know.
+    virtual bool isCurrent() const { return true; }
+    // Grows with every change of the backend servers.
+    virtual std::uint64_t serversRevision() const { return 0; }
+    // The backend servers as known, for a peer; empty when there is nothing to share.
     virtual std::string shareServers() const { return {}; }
-    // What a peer shared. Errors: ProtocolViolation.
+    // The last change of the backend servers, for a peer that knew them before it.
+    virtual std::string shareLastChange() const { return {}; }
+    // What a peer shared. Errors: Conflict when changes are missing in between, ProtocolViolation.
     virtual Outcome<void> hearServers(std::string_view) { return {}; }
 };
 
--- a/src/external/ObjectStore.h
+++ b/src/external/ObjectStore.h
@@ -19,6 +19,7 @@
 struct ObjectEntry {
     std::string key;
     std::uint64_t version = 0;
+    std::optional<std::string> value = {}; // where the list gives values
 };
 
 // A store of versioned values outside of the fleet, the only place that outlives every instance. Shared by the services
--- a/src/http/Asio.h
+++ b/src/http/Asio.h
@@ -19,6 +19,7 @@
 
 // Bounds how long written data may stay unacknowledged before the kernel reports the connection as broken, and
 // turns on keepalive, so that a connection that a middlebox forgot does not stay open for good.
-void setLivenessOptions(tcp::socket&, std::chrono::milliseconds bound);
+void setLivenessOptions(
+    tcp::socket&, std::chrono::milliseconds bound, std::chrono::seconds keepaliveIdle = std::chrono::seconds(5));
 
 } // namespace lagoonspoke
--- a/src/http/Endpoint.cpp
+++ b/src/http/Endpoint.cpp
@@ -8,7 +8,7 @@
 
 namespace lagoonspoke {
 
-void setLivenessOptions(tcp::socket& socket, std::chrono::milliseconds bound)
+void setLivenessOptions(tcp::socket& socket, std::chrono::milliseconds bound, std::chrono::seconds keepaliveIdle)
 {
     using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
     using KeepaliveIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
@@ -17,8 +17,8 @@
     socket.set_option(tcp::no_delay(true), ec);
     socket.set_option(asio::socket_base::keep_alive(true), ec);
     socket.set_option(UserTimeout(static_cast<int>(bound.count())), ec);
-    socket.set_option(KeepaliveIdle(5), ec);
-    socket.set_option(KeepaliveInterval(2), ec);
+    socket.set_option(KeepaliveIdle(static_cast<int>(keepaliveIdle.count())), ec);
+    socket.set_option(KeepaliveInterval(static_cast<int>(std::max<long>(1, keepaliveIdle.count() / 2))), ec);
 }
 
 Outcome<tcp::endpoint> parseEndpoint(std::string_view text)
--- a/src/http/HttpChannel.cpp
+++ b/src/http/HttpChannel.cpp
@@ -10,6 +10,8 @@
 constexpr std::size_t maxReplyBytes = 16 << 20;
 // Time after which the kernel reports a connection whose other end no longer acknowledges anything.
 constexpr std::chrono::milliseconds silenceBound(2500);
+// A call that waits for changes sends nothing itself.
+constexpr std::chrono::seconds keepaliveIdle(1);
 
 } // namespace
 
@@ -55,7 +57,7 @@
     if (auto [ec] = co_await connection->stream.async_connect(m_endpoint, useTuple); ec) {
         co_return makeError(ErrorCode::Unavailable, ec.message());
     }
-    setLivenessOptions(connection->stream.socket(), silenceBound);
+    setLivenessOptions(connection->stream.socket(), silenceBound, keepaliveIdle);
     co_return connection;
 }
 
--- a/src/usage/UsageMessages.h
+++ b/src/usage/UsageMessages.h
@@ -76,6 +76,7 @@
     struct Entry {
         std::string key;
         std::uint64_t version = 0;
+        std::optional<std::string> value = {}; // where the list gives values
     };
     std::uint64_t call = 0;
     Status status = Status::Done;
--- a/src/usage/UsageSealer.cpp
+++ b/src/usage/UsageSealer.cpp
@@ -237,6 +237,10 @@
 
 void UsageSealer::readNextRecord()
 {
+    while (!m_entries.empty() && m_entries.front().value) {
+        takeRecord(*m_entries.front().value);
+        m_entries.pop_front();
+    }
     if (m_entries.empty()) {
         createSeal();
         return;
@@ -247,12 +251,17 @@
 }
 
 void UsageSealer::finishRecord(const UsageAnswer& answer)
+{
+    takeRecord(answer.value);
+    readNextRecord();
+}
+
+void UsageSealer::takeRecord(const std::string& value)
 {
     // A record that is missing or unreadable is left out; its writer sees that and writes it again.
-    if (auto record = decodeUsageRecord(answer.value)) {
+    if (auto record = decodeUsageRecord(value)) {
         m_records.push_back(std::move(*record));
     }
-    readNextRecord();
 }
 
 void UsageSealer::createSeal()
--- a/src/usage/UsageSealer.h
+++ b/src/usage/UsageSealer.h
@@ -88,6 +88,7 @@
     void finishListing(const UsageAnswer&);
     void finishRecord(const UsageAnswer&);
     void readNextRecord();
+    void takeRecord(const std::string& value);
     void createSeal();
     void finishSeal(const UsageAnswer&);
     void finishOtherSeal(const UsageAnswer&);
