--- a/include/lagoonspoke/config/ConfigurationSnapshot.h
+++ b/include/lagoonspoke/config/ConfigurationSnapshot.h
@@ -22,7 +22,8 @@
     const TeamSpec* findTeam(const TeamId&) const;
     const ClassSpec* findClass(const ClassName&) const;
     const DeploymentSpec* findDeployment(const TargetName&) const;
-    // The route of the host, or of every host, with the longest prefix of the path that ends at a path segment; or null.
+    // The route of the host, or of every host, with the longest prefix of the path that ends at a path segment; or
+    // null.
     const RouteSpec* findRoute(std::string_view path, std::string_view host = {}) const;
 
 private:
--- a/src/config/ConfigurationSnapshot.cpp
+++ b/src/config/ConfigurationSnapshot.cpp
@@ -62,7 +62,8 @@
     const RouteSpec* best = nullptr;
     for (const auto& [name, route] : m_configuration.routes) {
         bool fits = route.host.empty() || route.host == host;
-        if (fits && isPathPrefix(route.pathPrefix, path) && (!best || route.pathPrefix.size() > best->pathPrefix.size())) {
+        if (fits && isPathPrefix(route.pathPrefix, path)
+            && (!best || route.pathPrefix.size() > best->pathPrefix.size())) {
             best = &route;
         }
     }
--- a/src/daemon/CapacityService.cpp
+++ b/src/daemon/CapacityService.cpp
@@ -90,6 +90,7 @@
     }
     m_sending.emplace(deployment.name, dataCentre);
     std::vector<CapacityOrder> calls;
+    calls.reserve(orders.size());
     for (const auto& wished : orders) {
         calls.push_back({ deployment.name, dataCentre, wished.cheap, wished.count, token });
     }
@@ -106,7 +107,8 @@
 
 asio::awaitable<void> CapacityService::give(const CapacityOrder& order)
 {
-    std::function<bool()> holds = [this, dataCentre = order.dataCentre, token = order.token] { return m_mayAct(dataCentre) == token; };
+    std::function<bool()> holds
+        = [this, dataCentre = order.dataCentre, token = order.token] { return m_mayAct(dataCentre) == token; };
     auto outcome = co_await m_orders->order(order, holds);
     LogLine(LogLevel::Info, "capacity_ordered")
         .add("target", order.target.value())
--- a/src/daemon/ConfigurationService.h
+++ b/src/daemon/ConfigurationService.h
@@ -4,8 +4,8 @@
 #include <memory>
 
 #include "daemon/PeerService.h"
-#include "lagoonspoke/config/ConfigurationSnapshot.h"
 #include "external/ObjectStore.h"
+#include "lagoonspoke/config/ConfigurationSnapshot.h"
 
 namespace lagoonspoke {
 
@@ -40,7 +40,8 @@
     // The name of the rumour that carries the head in force.
     static constexpr std::string_view rumourKey = "config/head";
 
-    ConfigurationService(asio::io_context&, const DaemonSettings&, WatchableObjectStorePtr, ConfigurationPeers, Callbacks);
+    ConfigurationService(
+        asio::io_context&, const DaemonSettings&, WatchableObjectStorePtr, ConfigurationPeers, Callbacks);
     ~ConfigurationService();
 
     void start();
--- a/src/daemon/ConfigurationServiceTest.cpp
+++ b/src/daemon/ConfigurationServiceTest.cpp
@@ -40,8 +40,8 @@
         callbacks.applySnapshot
             = [&instance](const SnapshotPtr& snapshot) { instance.applied.push_back(snapshot->number()); };
         callbacks.setKeyedAdmission = [&instance](bool allowed) { instance.admission = allowed; };
-        instance.service = std::make_unique<ConfigurationService>(
-            store.io(), settings, std::make_shared<ObjectStoreClient>(store.client()), std::move(peers), std::move(callbacks));
+        instance.service = std::make_unique<ConfigurationService>(store.io(), settings,
+            std::make_shared<ObjectStoreClient>(store.client()), std::move(peers), std::move(callbacks));
         m_members.push_back({ settings.instance, settings.dataCentre, RegionId("r"), "" });
         for (auto& [id, it] : m_instances) {
             it.service->handleMembers(m_members);
--- a/src/daemon/ControlServicesTest.cpp
+++ b/src/daemon/ControlServicesTest.cpp
@@ -4,10 +4,10 @@
 
 #include "daemon/LeaseService.h"
 #include "daemon/UsageService.h"
-#include "lagoonspoke/core/Text.h"
-#include "settings/JsonReader.h"
 #include "external/ObjectStoreClient.h"
 #include "external/UsageClient.h"
+#include "lagoonspoke/core/Text.h"
+#include "settings/JsonReader.h"
 #include "standins/StoreStandin.h"
 #include "standins/UsageStandin.h"
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -56,9 +56,8 @@
     if (m_interfaces.monitorsEngines) {
         EngineMonitor::Callbacks callbacks;
         callbacks.listServers = [this] { return m_control->ownedEngines(); };
-        callbacks.report = [this](const DomainId& domain, const DispatchEvent& event) {
-            m_control->tellDispatcher(domain, event);
-        };
+        callbacks.report
+            = [this](const DomainId& domain, const DispatchEvent& event) { m_control->tellDispatcher(domain, event); };
         m_engines = std::make_unique<EngineMonitor>(m_io, std::move(callbacks));
     }
     connectPeers();
@@ -92,8 +91,8 @@
                 m_control->handleEntryMessage(index, std::move(message));
             });
         };
-        auto thread = TrafficThread::Make(
-            i, m_settings, *callers, *m_interfaces.dialect, m_metrics, std::move(send), shared);
+        auto thread
+            = TrafficThread::Make(i, m_settings, *callers, *m_interfaces.dialect, m_metrics, std::move(send), shared);
         if (!thread) {
             return tl::make_unexpected(thread.error());
         }
@@ -113,8 +112,7 @@
     callbacks.applySnapshot = [this](SnapshotPtr snapshot) { applySnapshot(std::move(snapshot)); };
     callbacks.setKeyedAdmission = [this](bool allowed) { setKeyedAdmission(allowed); };
     callbacks.ownLoads = [this] { return m_control->ownLoads(); };
-    m_storeServices
-        = std::make_unique<StoreServices>(m_io, m_settings, m_interfaces, *m_peers, std::move(callbacks));
+    m_storeServices = std::make_unique<StoreServices>(m_io, m_settings, m_interfaces, *m_peers, std::move(callbacks));
     setKeyedAdmission(false);
     for (auto& thread : m_traffic) {
         thread->setUsageSink(m_storeServices->usageSink());
@@ -222,8 +220,7 @@
 
 bool Daemon::isReady() const
 {
-    return m_configured && m_keyedAdmission && !m_leaving
-        && (!m_interfaces.directory || m_peers->knowsServers());
+    return m_configured && m_keyedAdmission && !m_leaving && (!m_interfaces.directory || m_peers->knowsServers());
 }
 
 asio::awaitable<void> Daemon::handleAdmin(HttpExchange& exchange)
--- a/src/daemon/EngineMonitor.cpp
+++ b/src/daemon/EngineMonitor.cpp
@@ -2,8 +2,8 @@
 
 #include <random>
 
-#include "http/Endpoint.h"
 #include "external/EngineClient.h"
+#include "http/Endpoint.h"
 
 namespace lagoonspoke {
 
--- a/src/daemon/FleetService.cpp
+++ b/src/daemon/FleetService.cpp
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 
+#include "external/OrderLogCodec.h"
 #include "http/Endpoint.h"
 #include "lagoonspoke/core/Overload.h"
 #include "observe/LogLine.h"
-#include "external/OrderLogCodec.h"
 
 namespace lagoonspoke {
 
--- a/src/daemon/FleetService.h
+++ b/src/daemon/FleetService.h
@@ -7,12 +7,12 @@
 #include <set>
 #include <vector>
 
+#include "external/FleetClient.h"
+#include "external/ObjectStore.h"
 #include "fleet/FleetAdjuster.h"
 #include "fleet/FleetPlanner.h"
 #include "fleet/LoadPacer.h"
 #include "fleet/OrderLog.h"
-#include "external/FleetClient.h"
-#include "external/ObjectStore.h"
 
 namespace lagoonspoke {
 
--- a/src/daemon/FleetServiceTest.cpp
+++ b/src/daemon/FleetServiceTest.cpp
@@ -2,8 +2,8 @@
 
 #include <catch2/catch.hpp>
 
-#include "settings/JsonReader.h"
 #include "external/ObjectStoreClient.h"
+#include "settings/JsonReader.h"
 #include "standins/FleetStandin.h"
 #include "standins/StoreStandin.h"
 
@@ -31,9 +31,9 @@
         options.sender = "i~1";
         options.dataCentres = { dataCentre };
         options.adjustInterval = 20ms;
-        auto service
-            = std::make_unique<FleetService>(m_io, options, std::make_shared<ObjectStoreClient>(m_storeServer->endpoint(), callBound),
-                m_fleetServer->endpoint(), [this](const DataCentreId&) { return token; });
+        auto service = std::make_unique<FleetService>(m_io, options,
+            std::make_shared<ObjectStoreClient>(m_storeServer->endpoint(), callBound), m_fleetServer->endpoint(),
+            [this](const DataCentreId&) { return token; });
         service->start();
         return service;
     }
--- a/src/daemon/LeaseService.cpp
+++ b/src/daemon/LeaseService.cpp
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 
+#include "external/LeaseCodec.h"
 #include "lagoonspoke/core/Overload.h"
 #include "lease/LeaseCandidacy.h"
 #include "observe/LogLine.h"
-#include "external/LeaseCodec.h"
 
 namespace lagoonspoke {
 
@@ -19,8 +19,8 @@
 
 } // namespace
 
-LeaseService::LeaseService(asio::io_context& io, ObjectStorePtr store, InstanceId instance, std::string process,
-    LeaseMachine::Options options)
+LeaseService::LeaseService(
+    asio::io_context& io, ObjectStorePtr store, InstanceId instance, std::string process, LeaseMachine::Options options)
     : m_io(io)
     , m_store(std::move(store))
     , m_instance(std::move(instance))
--- a/src/daemon/LeaseService.h
+++ b/src/daemon/LeaseService.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "daemon/PeerService.h"
-#include "lease/LeaseMachine.h"
 #include "external/ObjectStore.h"
+#include "lease/LeaseMachine.h"
 
 namespace lagoonspoke {
 
--- a/src/daemon/PeerService.cpp
+++ b/src/daemon/PeerService.cpp
@@ -12,7 +12,8 @@
     if (!ports) {
         return tl::make_unexpected(ports.error());
     }
-    return std::unique_ptr<PeerService>(new PeerService(std::make_shared<State>(io, settings, std::move(*ports), std::move(directory))));
+    return std::unique_ptr<PeerService>(
+        new PeerService(std::make_shared<State>(io, settings, std::move(*ports), std::move(directory))));
 }
 
 PeerService::PeerService(std::shared_ptr<State> state)
--- a/src/daemon/ReaderRolesTest.cpp
+++ b/src/daemon/ReaderRolesTest.cpp
@@ -16,8 +16,8 @@
     std::vector<Member> members;
     for (const auto* dataCentre : { "a", "b" }) {
         for (int i = 0; i < perDataCentre; ++i) {
-            members.push_back({ InstanceId(fmt::format("{}{}", dataCentre, i)), DataCentreId(dataCentre),
-                RegionId("r"), "", makeIncarnation(5) });
+            members.push_back({ InstanceId(fmt::format("{}{}", dataCentre, i)), DataCentreId(dataCentre), RegionId("r"),
+                "", makeIncarnation(5) });
         }
     }
     return members;
--- a/src/daemon/StoreServices.cpp
+++ b/src/daemon/StoreServices.cpp
@@ -36,8 +36,8 @@
 
 } // namespace
 
-StoreServices::StoreServices(asio::io_context& io, const DaemonSettings& settings,
-    const ExternalInterfaces& interfaces, PeerService& peers, Callbacks callbacks)
+StoreServices::StoreServices(asio::io_context& io, const DaemonSettings& settings, const ExternalInterfaces& interfaces,
+    PeerService& peers, Callbacks callbacks)
     : m_settings(settings)
     , m_peers(peers)
     , m_callbacks(std::move(callbacks))
@@ -151,14 +151,13 @@
 
 void StoreServices::start()
 {
-    m_peers.setReceiver(PeerChannel::Configuration,
-        [this](const InstanceId& from, std::string_view payload) {
-            if (m_document) {
-                m_document->handlePeerMessage(from, payload);
-            } else {
-                m_tickets->handlePeerMessage(from, payload);
-            }
-        });
+    m_peers.setReceiver(PeerChannel::Configuration, [this](const InstanceId& from, std::string_view payload) {
+        if (m_document) {
+            m_document->handlePeerMessage(from, payload);
+        } else {
+            m_tickets->handlePeerMessage(from, payload);
+        }
+    });
     m_peers.setReceiver(PeerChannel::Usage,
         [this](const InstanceId& from, std::string_view payload) { m_usage.receive(from, payload); });
     m_peers.setReceiver(PeerChannel::Fleet,
--- a/src/daemon/UsageService.cpp
+++ b/src/daemon/UsageService.cpp
@@ -70,8 +70,8 @@
 
 } // namespace
 
-UsageService::UsageService(asio::io_context& io, Options options, ObjectStorePtr store,
-    UsageReporterPtr reporter, SendToPeer send, MayAct mayAct)
+UsageService::UsageService(asio::io_context& io, Options options, ObjectStorePtr store, UsageReporterPtr reporter,
+    SendToPeer send, MayAct mayAct)
     : m_io(io)
     , m_options(std::move(options))
     , m_store(std::move(store))
@@ -109,8 +109,8 @@
 
 void UsageService::readClock()
 {
-    auto now = m_clock.read(
-        std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch()), readMonotonicClock());
+    auto now = m_clock.read(std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch()),
+        readMonotonicClock());
     auto window = static_cast<WindowNumber>(now / m_options.window);
     execute(m_ledger.handle(UsageWindowOpened { window }, readMonotonicClock()));
     execute(m_sealer.handle(UsageClockRead { window, now % m_options.window }, readMonotonicClock()));
--- a/src/daemon/UsageService.h
+++ b/src/daemon/UsageService.h
@@ -6,11 +6,11 @@
 #include <optional>
 
 #include "daemon/PeerService.h"
-#include "lagoonspoke/usage/UsageRecord.h"
 #include "external/ObjectStore.h"
 #include "external/UsageReporter.h"
-#include "usage/UsageLedger.h"
+#include "lagoonspoke/usage/UsageRecord.h"
 #include "usage/SteadyWallClock.h"
+#include "usage/UsageLedger.h"
 #include "usage/UsageSealer.h"
 
 namespace lagoonspoke {
@@ -33,7 +33,8 @@
     using SendToPeer = std::function<void(const InstanceId&, std::string payload)>;
     using MayAct = std::function<std::optional<FencingToken>()>;
 
-    // The reporter may be null. SendToPeer sends on PeerChannel::Usage. MayAct is asked directly before each write under the lease on usage.
+    // The reporter may be null. SendToPeer sends on PeerChannel::Usage. MayAct is asked directly before each write
+    // under the lease on usage.
     UsageService(asio::io_context&, Options, ObjectStorePtr, UsageReporterPtr, SendToPeer, MayAct);
     ~UsageService();
 
--- a/src/dispatch/PolicyDispatcher.cpp
+++ b/src/dispatch/PolicyDispatcher.cpp
@@ -11,7 +11,8 @@
 // While requests wait, deadlines, floors and rates are looked at again after this time.
 constexpr Duration tick = std::chrono::milliseconds(50);
 // Measured rates change over seconds.
-// With more requests waiting than this, a run of the scheduler costs more than the few events that it answers are worth.
+// With more requests waiting than this, a run of the scheduler costs more than the few events that it answers are
+// worth.
 constexpr std::size_t shortQueue = 16;
 constexpr Duration pauseOfRuns = std::chrono::milliseconds(4);
 constexpr Duration rateUpdatePause = std::chrono::milliseconds(100);
--- a/src/dispatch/PromptPlacement.cpp
+++ b/src/dispatch/PromptPlacement.cpp
@@ -172,9 +172,8 @@
         return;
     }
     // Those that last first, with many such streams already and few prompt parts to give up.
-    std::ranges::sort(others, {}, [](const ServerState* it) {
-        return std::tuple(it->server.cheap, -it->gapSensitive, it->cache.size().count);
-    });
+    std::ranges::sort(others, {},
+        [](const ServerState* it) { return std::tuple(it->server.cheap, -it->gapSensitive, it->cache.size().count); });
     auto next = others.begin();
     // Half of the engines at most.
     while (std::ranges::distance(next, others.end()) > static_cast<std::ptrdiff_t>(m_lanes.size()) + 1
--- a/src/dispatch/ServerState.cpp
+++ b/src/dispatch/ServerState.cpp
@@ -41,7 +41,8 @@
         return;
     }
     double sample = toSeconds(time) / (work * ServerSelector::loadFactor(inFlightThen, server.slots));
-    m_secondsPerPromptToken += (m_knowsPrompts && !m_measured ? firstWeight : weightOfNewest) * (sample - m_secondsPerPromptToken);
+    m_secondsPerPromptToken
+        += (m_knowsPrompts && !m_measured ? firstWeight : weightOfNewest) * (sample - m_secondsPerPromptToken);
     m_measured = true;
     m_newestObservation = now;
 }
--- a/src/dispatch/ServerState.h
+++ b/src/dispatch/ServerState.h
@@ -30,8 +30,8 @@
     void noteDeclined(MonotonicTime now) { m_declinedAt = now; }
     bool declinedSince(MonotonicTime time) const { return m_declinedAt && *m_declinedAt > time; }
 
-    // The server is a model engine whose prompts are known part by part, so that the time of its first byte measures how
-    // fast it reads; until the first observation it is taken to be that fast.
+    // The server is a model engine whose prompts are known part by part, so that the time of its first byte measures
+    // how fast it reads; until the first observation it is taken to be that fast.
     void assumePromptEngine(double secondsPerPromptToken);
     bool isMeasured() const { return m_measured; }
 
--- a/src/entry/AnswerRelay.cpp
+++ b/src/entry/AnswerRelay.cpp
@@ -56,8 +56,7 @@
     }
 }
 
-asio::awaitable<RequestEvent> AnswerRelay::relay(
-    BackendConnection& connection, const AdmittedRequest& request)
+asio::awaitable<RequestEvent> AnswerRelay::relay(BackendConnection& connection, const AdmittedRequest& request)
 {
     bool completion = request.kind == RouteKind::Completion;
     if (!m_started) {
--- a/src/entry/RequestConclusion.cpp
+++ b/src/entry/RequestConclusion.cpp
@@ -92,8 +92,7 @@
 
 asio::awaitable<void> RequestRunner::recordUsage()
 {
-    if (!m_services.usageSink || !m_request.team || m_relay.status() >= 400
-        || m_services.settings.countsUsageAtStart) {
+    if (!m_services.usageSink || !m_request.team || m_relay.status() >= 400 || m_services.settings.countsUsageAtStart) {
         co_return;
     }
     auto executor = m_exchange.socket().get_executor();
--- a/src/entry/RequestFuzzTest.cpp
+++ b/src/entry/RequestFuzzTest.cpp
@@ -143,7 +143,8 @@
             auto response = co_await caller.readAll();
             REQUIRE(response.find(key) == std::string::npos);
         }
-        auto models = co_await f.ask("GET /v1/models HTTP/1.1\r\nhost: h\r\nauthorization: Bearer key-1234567890\r\n\r\n");
+        auto models
+            = co_await f.ask("GET /v1/models HTTP/1.1\r\nhost: h\r\nauthorization: Bearer key-1234567890\r\n\r\n");
         REQUIRE(models.find("200 OK") != std::string::npos);
     });
     REQUIRE(f.finished.empty());
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -374,7 +374,9 @@
         }
         auto answer = m_services.dialect.readAnswer(m_connection->head());
         if (!answer.requestId.empty() && answer.requestId != backendId() && m_connection->reused()) {
-            LogLine(LogLevel::Info, "late_answer_skipped").add("request", m_id.value()).add("answers", answer.requestId);
+            LogLine(LogLevel::Info, "late_answer_skipped")
+                .add("request", m_id.value())
+                .add("answers", answer.requestId);
             m_wait = Wait::Backend;
             bool skipped = co_await m_connection->skipAnswer(m_services.settings.tokenGapTimeout);
             m_wait = Wait::Nothing;
--- a/src/external/CollectionDirectory.cpp
+++ b/src/external/CollectionDirectory.cpp
@@ -92,8 +92,7 @@
         noteItems(items);
         m_state->applyServers(items, m_decode);
     };
-    m_watcher = std::make_unique<CollectionWatcher>(
-        io, "servers", m_servers, m_options.follower, std::move(callbacks));
+    m_watcher = std::make_unique<CollectionWatcher>(io, "servers", m_servers, m_options.follower, std::move(callbacks));
     m_watcher->start();
     asio::co_spawn(io, State::registerSelf(m_state), asio::detached);
     asio::co_spawn(io, State::listInstances(m_state), asio::detached);
@@ -145,8 +144,8 @@
         }
     }
     auto revision = m_watcher->follower().itemsRevision();
-    m_lastChange = boost::json::serialize(boost::json::object {
-        { "from", m_itemsRevision }, { "revision", revision }, { "items", std::move(changes) } });
+    m_lastChange = boost::json::serialize(
+        boost::json::object { { "from", m_itemsRevision }, { "revision", revision }, { "items", std::move(changes) } });
     m_items = items;
     m_itemsRevision = revision;
 }
@@ -178,7 +177,8 @@
     CollectionChanges heard;
     heard.revision = static_cast<std::uint64_t>(reader.readInteger("revision", 0, most));
     for (auto& it : reader.readObjects("items")) {
-        CollectionChange change { { it.readString("name"), it.readString("value", "") }, it.readBool("removed", false) };
+        CollectionChange change { { it.readString("name"), it.readString("value", "") },
+            it.readBool("removed", false) };
         heard.changes.push_back(std::move(change));
     }
     if (!errors.empty()) {
--- a/src/external/CollectionFollower.h
+++ b/src/external/CollectionFollower.h
@@ -36,9 +36,8 @@
     bool watches = true;
 };
 
-using CollectionEvent
-    = std::variant<CollectionListed, CollectionWatched, CollectionHistoryLost, CollectionCallFailed, CollectionHeard,
-        CollectionChangesHeard, CollectionRoleChanged>;
+using CollectionEvent = std::variant<CollectionListed, CollectionWatched, CollectionHistoryLost, CollectionCallFailed,
+    CollectionHeard, CollectionChangesHeard, CollectionRoleChanged>;
 
 struct ListCollection { };
 struct WatchCollection {
--- a/src/external/ObjectStore.h
+++ b/src/external/ObjectStore.h
@@ -35,8 +35,7 @@
     virtual asio::awaitable<Outcome<std::uint64_t>> create(std::string key, std::string value) const = 0;
     // Writes only if the key still has the version. Gives the new version.
     virtual asio::awaitable<Outcome<std::uint64_t>> update(
-        std::string key, std::string value, std::uint64_t version) const
-        = 0;
+        std::string key, std::string value, std::uint64_t version) const = 0;
     // Updates the version if there is one, otherwise creates. Gives the new version.
     asio::awaitable<Outcome<std::uint64_t>> write(
         std::string key, std::string value, std::optional<std::uint64_t> version) const;
@@ -51,8 +50,7 @@
 public:
     // Waits until the key's version is greater than the given one; nothing when the wait ends first.
     virtual asio::awaitable<Outcome<std::optional<StoredObject>>> watch(
-        std::string key, std::uint64_t after, Duration wait) const
-        = 0;
+        std::string key, std::uint64_t after, Duration wait) const = 0;
 };
 
 using WatchableObjectStorePtr = std::shared_ptr<const WatchableObjectStore>;
--- a/src/external/StoreHarnessTest.h
+++ b/src/external/StoreHarnessTest.h
@@ -4,8 +4,8 @@
 
 #include <catch2/catch.hpp>
 
-#include "http/HttpServer.h"
 #include "external/ObjectStoreClient.h"
+#include "http/HttpServer.h"
 #include "standins/StoreStandin.h"
 
 namespace lagoonspoke::test {
--- a/src/http/HttpChannel.cpp
+++ b/src/http/HttpChannel.cpp
@@ -74,8 +74,8 @@
     }
     auto connection = std::move(*opened);
     auto busy = state->busy.insert(state->busy.end(), connection);
-    auto reply = co_await callOn(connection->stream, connection->buffer, m_endpoint, std::move(call), bound,
-        maxReplyBytes);
+    auto reply
+        = co_await callOn(connection->stream, connection->buffer, m_endpoint, std::move(call), bound, maxReplyBytes);
     state->busy.erase(busy);
     if (reply && reply->keepAlive && connection->buffer.size() == 0 && state->idle.size() < mostIdle) {
         connection->stream.expires_never();
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -36,7 +36,8 @@
 // The rumours published last go to a few members at once, without waiting for the next probes.
 struct NewsUrgent { };
 
-using MembershipEvent = std::variant<MembershipReceived, MemberMet, CandidatesChanged, LeaveRequested, RumourPublished, NewsUrgent>;
+using MembershipEvent
+    = std::variant<MembershipReceived, MemberMet, CandidatesChanged, LeaveRequested, RumourPublished, NewsUrgent>;
 
 struct SendMembership {
     InstanceId to;
--- a/src/usage/SteadyWallClock.cpp
+++ b/src/usage/SteadyWallClock.cpp
@@ -10,12 +10,11 @@
     if (!m_offset) {
         m_offset = offset;
     }
-    if (std::chrono::abs(offset - *m_offset) <= m_options.jumpBound) {
-        m_jumpedAt.reset();
-        m_offset = offset;
-    } else if (!m_jumpedAt) {
+    bool isJump = std::chrono::abs(offset - *m_offset) > m_options.jumpBound;
+    if (isJump && !m_jumpedAt) {
         m_jumpedAt = now;
-    } else if (now - *m_jumpedAt >= m_options.settleTime) {
+    }
+    if (!isJump || now - *m_jumpedAt >= m_options.settleTime) {
         m_jumpedAt.reset();
         m_offset = offset;
     }
--- a/src/wire/FrameDecoder.cpp
+++ b/src/wire/FrameDecoder.cpp
@@ -65,9 +65,8 @@
         auto dataCentre = writeText(builder, hello->dataCentre.value());
         auto region = writeText(builder, hello->region.value());
         auto address = writeText(builder, hello->peerAddress);
-        auto table
-            = wire::CreateHello(builder, instance, hello->incarnation, dataCentre, region, address, hello->version,
-                hello->capacity);
+        auto table = wire::CreateHello(
+            builder, instance, hello->incarnation, dataCentre, region, address, hello->version, hello->capacity);
         builder.Finish(wire::CreateEnvelope(builder, table));
     } else {
         const auto& payload = std::get<PayloadFrame>(frame);
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -20,9 +20,8 @@
     auto dataCentre = writeText(builder, member.dataCentre.value());
     auto region = writeText(builder, member.region.value());
     auto address = writeText(builder, member.peerAddress);
-    return wire::CreateMember(
-        builder, id, dataCentre, region, address, member.incarnation, static_cast<std::uint8_t>(member.state),
-        member.capacity);
+    return wire::CreateMember(builder, id, dataCentre, region, address, member.incarnation,
+        static_cast<std::uint8_t>(member.state), member.capacity);
 }
 
 flatbuffers::Offset<wire::Gossip> writeGossip(Builder& builder, const Gossip& gossip)
--- a/src/wire/PlacementCodec.cpp
+++ b/src/wire/PlacementCodec.cpp
@@ -19,6 +19,7 @@
 auto writeBlocks(Builder& builder, const std::vector<PrefixBlock>& prefix)
 {
     std::vector<std::uint64_t> blocks;
+    blocks.reserve(prefix.size());
     for (auto block : prefix) {
         blocks.push_back(static_cast<std::uint64_t>(block));
     }
@@ -28,6 +29,7 @@
 auto writeTokens(Builder& builder, const std::vector<Tokens>& tokens)
 {
     std::vector<std::int64_t> counts;
+    counts.reserve(tokens.size());
     for (auto it : tokens) {
         counts.push_back(it.count);
     }
--- a/tools/ctl/TicketVerbs.cpp
+++ b/tools/ctl/TicketVerbs.cpp
@@ -7,8 +7,8 @@
 #include <fmt/format.h>
 
 #include "config/CanonicalJson.h"
-#include "lagoonspoke/core/Text.h"
 #include "external/TicketSubmitter.h"
+#include "lagoonspoke/core/Text.h"
 #include "tools/ctl/SubmissionReport.h"
 #include "tools/ctl/Table.h"
 #include "tools/ctl/Verbs.h"
--- a/tools/ctl/VerbsTest.cpp
+++ b/tools/ctl/VerbsTest.cpp
@@ -2,9 +2,9 @@
 
 #include <boost/json.hpp>
 
-#include "lagoonspoke/core/Digest.h"
 #include "external/StoreHarnessTest.h"
 #include "external/TicketSubmitter.h"
+#include "lagoonspoke/core/Digest.h"
 #include "tools/ctl/CommandTable.h"
 
 namespace lagoonspoke {
