--- a/src/entry/RequestAdmission.cpp
+++ b/src/entry/RequestAdmission.cpp
@@ -83,19 +83,6 @@
     return true;
 }
 
-// The bearer token, or an empty text. Several Authorization headers are ambiguous and give nothing.
-std::string_view findKey(const CallerHead& head)
-{
-    static constexpr std::string_view scheme = "bearer ";
-    auto isAuthorization = [](const auto& it) { return it.first == "authorization"; };
-    if (std::ranges::count_if(head.headers, isAuthorization) != 1) {
-        return {};
-    }
-    auto value = head.header("authorization");
-    return equalsIgnoringCase(value.substr(0, scheme.size()), scheme) ? value.substr(scheme.size())
-                                                                      : std::string_view();
-}
-
 // The text with its percent-encoded bytes decoded; an incomplete encoding stays as it is.
 std::string decodePercent(std::string_view text)
 {
@@ -118,6 +105,18 @@
 
 } // namespace
 
+std::string_view findKey(const CallerHead& head)
+{
+    static constexpr std::string_view scheme = "bearer ";
+    auto isAuthorization = [](const auto& it) { return it.first == "authorization"; };
+    if (std::ranges::count_if(head.headers, isAuthorization) != 1) {
+        return {};
+    }
+    auto value = head.header("authorization");
+    return equalsIgnoringCase(value.substr(0, scheme.size()), scheme) ? value.substr(scheme.size())
+                                                                      : std::string_view();
+}
+
 bool revealsKey(const CallerHead& head, std::string_view key)
 {
     return contains(head.target, key) || contains(decodePercent(head.target), key) || contains(head.method, key)
--- a/src/entry/RequestAdmission.h
+++ b/src/entry/RequestAdmission.h
@@ -58,6 +58,9 @@
     std::vector<Tokens> prefixTokens;
 };
 
+// The bearer token, or an empty text. Several Authorization headers are ambiguous and give nothing.
+std::string_view findKey(const CallerHead&);
+
 // Whether the key also stands where it would reach a backend server: the target, also percent-encoded, or a header.
 bool revealsKey(const CallerHead&, std::string_view key);
 
