Name a process once for all outside interfaces

Cause: when the interfaces were split from the services, each made a process name of its own from the clock, so usage reports named another sender than leases and orders of the same process. Change: ExternalInterfaces carries the name, as one did before the split. No test covered it; plain tests pass.

--- a/src/daemon/ExternalInterfaces.cpp
+++ b/src/daemon/ExternalInterfaces.cpp
@@ -43,6 +43,7 @@
         }
     }
     ExternalInterfaces interfaces;
+    interfaces.process = makeProcessName(settings);
     interfaces.dialect = std::make_shared<OwnDialect>();
     if (*store) {
         interfaces.tickets = std::make_shared<ObjectStoreClient>(**store, storeBound);
@@ -52,7 +53,7 @@
         interfaces.directory = std::make_shared<PolledDirectory>(**instances);
     }
     if (*usage) {
-        interfaces.usage = std::make_shared<UsageClient>(**usage, makeProcessName(settings), reportBound);
+        interfaces.usage = std::make_shared<UsageClient>(**usage, interfaces.process, reportBound);
     }
     interfaces.fleet = *fleet;
     interfaces.monitorsEngines = true;
--- a/src/daemon/ExternalInterfaces.h
+++ b/src/daemon/ExternalInterfaces.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 
 #include "config/DocumentFollower.h"
 #include "entry/CallerDialect.h"
@@ -23,6 +24,8 @@
 // Everything outside of the fleet that an instance speaks with, behind interfaces that say nothing of its protocols.
 // An installation with other protocols than the product's own brings its own implementations. Owned by the Daemon.
 struct ExternalInterfaces {
+    // Tells this process from an earlier one with the same instance id, to every interface alike.
+    std::string process;
     std::shared_ptr<const CallerDialect> dialect;
     // Null for an instance that knows only itself and a fixed list of backend servers.
     InstanceDirectoryPtr directory;
@@ -41,7 +44,7 @@
     std::optional<ConfigurationDocument> document;
 };
 
-// Tells this process from an earlier one with the same instance id.
+// A name for ExternalInterfaces::process; another one at each call.
 std::string makeProcessName(const DaemonSettings&);
 
 // The product's own interfaces. Errors: InvalidArgument when an address of the settings cannot be parsed.
--- a/src/daemon/StoreServices.cpp
+++ b/src/daemon/StoreServices.cpp
@@ -41,7 +41,7 @@
     : m_settings(settings)
     , m_peers(peers)
     , m_callbacks(std::move(callbacks))
-    , m_process(makeProcessName(settings))
+    , m_process(interfaces.process)
     , m_dataCentres(
           settings.regionDataCentres.empty() ? std::vector { settings.dataCentre } : settings.regionDataCentres)
     , m_leases(io, interfaces.store, settings.instance, m_process, makeLeaseOptions(settings))
