--- a/src/daemon/DocumentService.cpp
+++ b/src/daemon/DocumentService.cpp
@@ -3,6 +3,7 @@
 #include "external/CollectionWatcher.h"
 #include "lagoonspoke/core/Digest.h"
 #include "lagoonspoke/core/Overload.h"
+#include "membership/Rendezvous.h"
 #include "observe/LogLine.h"
 #include "wire/ConfigurationCodec.h"
 
@@ -154,13 +155,7 @@
 
 void DocumentService::handleMembers(const std::vector<Member>& members)
 {
-    DocumentPeersChanged changed;
-    for (const auto& member : members) {
-        if (member.id != m_state->options.instance && member.state != MemberState::Dead) {
-            changed.peers.push_back(member.id);
-        }
-    }
-    m_state->feed(changed);
+    m_state->feed(DocumentPeersChanged { listOthers(members, m_state->options.instance) });
 }
 
 void DocumentService::handlePeerMessage(const InstanceId& from, std::string_view payload)
--- a/src/daemon/ServerListExchange.cpp
+++ b/src/daemon/ServerListExchange.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <random>
 
+#include "membership/Rendezvous.h"
 #include "observe/LogLine.h"
 #include "wire/ConfigurationCodec.h"
 
@@ -117,12 +118,7 @@
 
 void ServerListExchange::setMembers(const std::vector<Member>& members)
 {
-    m_state->peers.clear();
-    for (const auto& member : members) {
-        if (member.id != m_state->self && member.state != MemberState::Dead) {
-            m_state->peers.push_back(member.id);
-        }
-    }
+    m_state->peers = listOthers(members, m_state->self);
     m_state->roles.setMembers(members, readMonotonicClock());
     m_state->updateRole();
 }
--- a/src/entry/CallerDialect.cpp
+++ b/src/entry/CallerDialect.cpp
@@ -1,6 +1,5 @@
 #include "entry/CallerDialect.h"
 
-#include <absl/strings/ascii.h>
 #include <fmt/format.h>
 
 namespace lagoonspoke {
@@ -32,11 +31,9 @@
     answer.usable = !answer.requestId.empty();
     answer.headers.emplace_back("x-request-id", answer.requestId);
     answer.headers.emplace_back("x-lagoonspoke-run", toString(RunStatus::Ran));
-    for (const auto& field : head) {
-        std::string name(field.name_string().data(), field.name_string().size());
-        absl::AsciiStrToLower(&name);
-        if (isForwardedToCaller(name)) {
-            answer.headers.emplace_back(std::move(name), std::string(field.value().data(), field.value().size()));
+    for (auto& header : copyHeaders(head)) {
+        if (isForwardedToCaller(header.first)) {
+            answer.headers.push_back(std::move(header));
         }
     }
     return answer;
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -1,6 +1,5 @@
 #include "entry/RequestRunner.h"
 
-#include <absl/strings/ascii.h>
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
@@ -14,16 +13,8 @@
 
 CallerHead copyHead(const HttpExchange& exchange)
 {
-    CallerHead head;
     const auto& request = exchange.request();
-    head.method = std::string(request.method_string().data(), request.method_string().size());
-    head.target = std::string(exchange.target());
-    for (const auto& field : request) {
-        std::string name(field.name_string().data(), field.name_string().size());
-        absl::AsciiStrToLower(&name);
-        head.headers.emplace_back(std::move(name), std::string(field.value().data(), field.value().size()));
-    }
-    return head;
+    return { std::string(request.method_string()), std::string(exchange.target()), copyHeaders(request) };
 }
 
 CallerError errorOf(ErrorCode code)
--- a/src/external/CollectionFollower.cpp
+++ b/src/external/CollectionFollower.cpp
@@ -73,13 +73,7 @@
     if (!takesHearsay() || heard.from != m_itemsRevision) {
         return;
     }
-    for (auto& change : heard.changes.changes) {
-        if (change.removed) {
-            remove(change.item.name, now);
-        } else {
-            put(std::move(change.item));
-        }
-    }
+    apply(std::move(heard.changes.changes), now);
     m_itemsRevision = heard.changes.revision;
 }
 
@@ -116,13 +110,7 @@
 void CollectionFollower::take(CollectionWatched watched, MonotonicTime now)
 {
     noteAnswer(now);
-    for (auto& change : watched.changes.changes) {
-        if (change.removed) {
-            remove(change.item.name, now);
-        } else {
-            put(std::move(change.item));
-        }
-    }
+    apply(std::move(watched.changes.changes), now);
     m_revision = watched.changes.revision;
     watch();
 }
@@ -142,6 +130,17 @@
     m_retryAt = now + m_retryDelay;
 }
 
+void CollectionFollower::apply(std::vector<CollectionChange> changes, MonotonicTime now)
+{
+    for (auto& change : changes) {
+        if (change.removed) {
+            remove(change.item.name, now);
+        } else {
+            put(std::move(change.item));
+        }
+    }
+}
+
 void CollectionFollower::put(CollectionItem item)
 {
     m_missing.erase(item.name);
--- a/src/external/CollectionFollower.h
+++ b/src/external/CollectionFollower.h
@@ -95,6 +95,7 @@
     bool takesHearsay() const { return !m_watches || !m_reachable || !m_known; }
     void replaceItems(CollectionList, MonotonicTime now);
     void noteAnswer(MonotonicTime now);
+    void apply(std::vector<CollectionChange>, MonotonicTime now);
     void put(CollectionItem);
     void remove(const std::string& name, MonotonicTime now);
     void watch();
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,7 +1,5 @@
 #include "http/HttpClient.h"
 
-#include <absl/strings/ascii.h>
-
 namespace lagoonspoke {
 
 std::string_view HttpReply::header(std::string_view lowerCaseName) const
@@ -37,11 +35,7 @@
     HttpReply reply;
     reply.keepAlive = response.keep_alive();
     reply.status = static_cast<int>(response.result_int());
-    for (const auto& field : response) {
-        std::string name(field.name_string());
-        absl::AsciiStrToLower(&name);
-        reply.headers.emplace_back(std::move(name), std::string(field.value()));
-    }
+    reply.headers = copyHeaders(response);
     reply.body = std::move(response.body());
     return reply;
 }
--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -1,11 +1,21 @@
 #include "http/HttpExchange.h"
 
+#include <absl/strings/ascii.h>
 #include <fmt/format.h>
 
 #include "http/ReadBound.h"
 
 namespace lagoonspoke {
 
+HeaderList copyHeaders(const http::fields& fields)
+{
+    HeaderList headers;
+    for (const auto& field : fields) {
+        headers.emplace_back(absl::AsciiStrToLower(std::string(field.name_string())), field.value());
+    }
+    return headers;
+}
+
 HttpExchange::HttpExchange(HttpConnection& connection, Parser& parser, const Limits& limits, const bool& serverClosing)
     : m_connection(connection)
     , m_parser(parser)
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -13,6 +13,9 @@
 
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
 
+// The headers with their names in lower case.
+HeaderList copyHeaders(const http::fields&);
+
 // A connection of a caller, over all its requests. Owned by HttpServer.
 struct HttpConnection {
     explicit HttpConnection(tcp::socket socket)
--- a/src/http/SseReader.cpp
+++ b/src/http/SseReader.cpp
@@ -19,6 +19,18 @@
     return text.substr(position, 2) == "\r\n" ? 2 : 0;
 }
 
+// Removes the first line and gives it without its line break.
+std::string_view takeLine(std::string_view& text)
+{
+    auto end = text.find('\n');
+    auto line = text.substr(0, end);
+    text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    if (line.ends_with('\r')) {
+        line.remove_suffix(1);
+    }
+    return line;
+}
+
 } // namespace
 
 std::optional<std::string_view> SseReader::next()
@@ -57,13 +69,7 @@
 {
     std::string_view id;
     while (!event.empty()) {
-        auto end = event.find('\n');
-        auto line = event.substr(0, end);
-        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
-        if (line.starts_with("id:")) {
+        if (auto line = takeLine(event); line.starts_with("id:")) {
             id = line.substr(3);
             id.remove_prefix(std::min(id.find_first_not_of(' '), id.size()));
         }
@@ -76,12 +82,7 @@
     std::string data;
     bool any = false;
     while (!event.empty()) {
-        auto end = event.find('\n');
-        auto line = event.substr(0, end);
-        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
+        auto line = takeLine(event);
         if (!line.starts_with("data:")) {
             continue;
         }
--- a/src/membership/Rendezvous.cpp
+++ b/src/membership/Rendezvous.cpp
@@ -24,6 +24,17 @@
     return stableHash(member.id.value(), stableHash(key, startOf(member.incarnation)));
 }
 
+std::vector<InstanceId> listOthers(const std::vector<Member>& members, const InstanceId& self)
+{
+    std::vector<InstanceId> others;
+    for (const auto& member : members) {
+        if (member.id != self && member.state != MemberState::Dead) {
+            others.push_back(member.id);
+        }
+    }
+    return others;
+}
+
 RegionId regionOf(const DomainId& domain)
 {
     return RegionId(domain.value().substr(0, domain.value().find('/')));
--- a/src/membership/Rendezvous.h
+++ b/src/membership/Rendezvous.h
@@ -19,6 +19,9 @@
     return member.state == MemberState::Alive || member.state == MemberState::Suspect;
 }
 
+// The members that can be reached, without the instance itself.
+std::vector<InstanceId> listOthers(const std::vector<Member>&, const InstanceId& self);
+
 // The region part of a domain "REGION/NAME".
 RegionId regionOf(const DomainId&);
 
