--- a/src/dispatch/PolicyDispatcher.cpp
+++ b/src/dispatch/PolicyDispatcher.cpp
@@ -10,11 +10,11 @@
 
 // While requests wait, deadlines, floors and rates are looked at again after this time.
 constexpr Duration tick = std::chrono::milliseconds(50);
-// Measured rates change over seconds.
 // With more requests waiting than this, a run of the scheduler costs more than the few events that it answers are
 // worth.
 constexpr std::size_t shortQueue = 16;
 constexpr Duration pauseOfRuns = std::chrono::milliseconds(4);
+// Measured rates change over seconds.
 constexpr Duration rateUpdatePause = std::chrono::milliseconds(100);
 // A tier that waits this long for a slot closes the domain to the tiers below it. A shorter wait may be one for the
 // engine that has the prompt.
--- a/src/dispatch/PromptPlacement.cpp
+++ b/src/dispatch/PromptPlacement.cpp
@@ -103,7 +103,7 @@
     if (!waiting.dataCentre.empty() && waiting.dataCentre != state.server.dataCentre) {
         cost += m_options.crossDataCentreCost;
     }
-    return { !state.health.isEjected(), state.health.failures(), cost, time, &state,
+    return { !state.health.isEjected(), state.health.failures(), cost, time, &state, uncached,
         mayStart(state, waiting, uncached, now) };
 }
 
@@ -121,7 +121,7 @@
         if (!best.server || rank(choice) < rank(best)) {
             best = choice;
         }
-        bool stalls = state.gapSensitive > 0 && uncachedTokens(state, waiting.place) > quietTokens(state);
+        bool stalls = state.gapSensitive > 0 && choice.uncached > quietTokens(state);
         if (choice.mayStart && !stalls && (!free.server || rank(choice) < rank(free))) {
             free = choice;
         }
@@ -133,7 +133,7 @@
     if (best.server && !best.mayStart && waiting.promisedRun != m_run) {
         waiting.promisedRun = m_run;
         waiting.promisedTo = best.server;
-        best.server->promisedWork += static_cast<double>(uncachedTokens(*best.server, waiting.place).count);
+        best.server->promisedWork += static_cast<double>(best.uncached.count);
     }
     return best.mayStart ? best.server : nullptr;
 }
--- a/src/dispatch/PromptPlacement.h
+++ b/src/dispatch/PromptPlacement.h
@@ -38,6 +38,7 @@
         Duration cost {};
         Duration time {}; // predicted until the first token
         ServerState* server = nullptr;
+        Tokens uncached; // of the prompt, to read on the server
         bool mayStart = false;
     };
 
--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -66,7 +66,6 @@
     settings.acceptsUnframedAnswers = reader.readBool("accepts_unframed_answers", settings.acceptsUnframedAnswers);
     settings.finishesWithdrawnRequests
         = reader.readBool("finishes_withdrawn_requests", settings.finishesWithdrawnRequests);
-    settings.refusesKeysWhenIsolated = reader.readBool("refuses_keys_when_isolated", settings.refusesKeysWhenIsolated);
     settings.countsUsageAtStart = reader.readBool("counts_usage_at_start", settings.countsUsageAtStart);
     settings.answersIdleTimeout = reader.readBool("answers_idle_timeout", settings.answersIdleTimeout);
     settings.leaseTerm = reader.readMilliseconds("lease_term_ms", 1s, 1min, settings.leaseTerm);
--- a/src/settings/DaemonSettings.h
+++ b/src/settings/DaemonSettings.h
@@ -54,14 +54,10 @@
     bool acceptsUnframedAnswers = false;
     // Whether requests that run go on when their key is withdrawn.
     bool finishesWithdrawnRequests = false;
-    // Whether keys are refused while the instance cannot know of withdrawals.
-    bool refusesKeysWhenIsolated = true;
     // Whether usage counts a request when its answer begins, instead of its tokens at the end.
     bool countsUsageAtStart = false;
     // Whether a caller's connection without a request in time gets an error before it closes.
     bool answersIdleTimeout = true;
-    // Instances to join, IP:port, besides those of the instance list.
-    std::vector<std::string> seeds;
     // Longest time for which an order may still be on its way, and the term of a lease on them.
     Duration leaseTerm = std::chrono::seconds(10);
     // Time from the end of a usage window until its report is due.
