Log what a dispatcher believes while requests wait

Change: one line a second at most for each dispatcher with waiting requests: waiting by tier, suspects, servers that leave, are ejected or kept for suspects, busy slots, servers that read prompts and the mean unread time.

--- a/src/daemon/ControlLoop.cpp
+++ b/src/daemon/ControlLoop.cpp
@@ -17,6 +17,9 @@
 // A floor is fresh for three seconds; unchanged ones are told again at this interval at most.
 constexpr Duration floorInterval = std::chrono::milliseconds(900);
 
+// Bounds the volume of the log; waits under load last seconds.
+constexpr Duration dispatcherLogInterval = std::chrono::seconds(1);
+
 PlacementRouter::Options makeRouterOptions(const DaemonSettings& settings)
 {
     PlacementRouter::Options options;
@@ -314,6 +317,38 @@
     }
     m_working = false;
     drainWork();
+    logDispatchers(now);
+}
+
+void ControlLoop::logDispatchers(MonotonicTime now)
+{
+    if (now < m_dispatchersLogged + dispatcherLogInterval) {
+        return;
+    }
+    for (const auto& [domain, dispatcher] : m_dispatchers) {
+        auto summary = dispatcher.summarize();
+        std::string waiting;
+        for (const auto& [tier, count] : summary.waiting) {
+            if (count > 0) {
+                waiting += fmt::format("{}{}:{}", waiting.empty() ? "" : ",", tier.level, count);
+            }
+        }
+        if (waiting.empty() && summary.suspects == 0) {
+            continue;
+        }
+        m_dispatchersLogged = now;
+        LogLine(LogLevel::Info, "requests_waiting")
+            .add("domain", domain.value())
+            .add("by_tier", waiting)
+            .add("suspects", summary.suspects)
+            .add("servers", summary.servers)
+            .add("leaving", summary.leavingServers)
+            .add("ejected", summary.ejectedServers)
+            .add("isolated", summary.isolatedServers)
+            .add("busy_slots", summary.busySlots)
+            .add("reading", summary.readingServers)
+            .add("unread_ms", toMilliseconds(summary.unread));
+    }
 }
 
 } // namespace lagoonspoke
--- a/src/daemon/ControlLoop.h
+++ b/src/daemon/ControlLoop.h
@@ -57,6 +57,8 @@
     void drainWork();
     void scheduleWakeup();
     void fireTimers();
+    // Logs what the dispatchers with waiting requests believe, at most once in an interval.
+    void logDispatchers(MonotonicTime now);
 
     const DaemonSettings& m_settings;
     PeerService& m_peers;
@@ -71,6 +73,7 @@
     std::map<DomainId, PublishedFloor> m_floors;
     std::deque<RouterAction> m_work; // actions lead to events and further actions; a queue keeps the stack flat
     bool m_working = false;
+    MonotonicTime m_dispatchersLogged {};
 };
 
 } // namespace lagoonspoke
--- a/src/dispatch/BaselineDispatcher.cpp
+++ b/src/dispatch/BaselineDispatcher.cpp
@@ -177,6 +177,15 @@
     }
 }
 
+DispatchSummary BaselineDispatcher::summarize() const
+{
+    DispatchSummary summary;
+    for (const auto& waiting : m_queue) {
+        ++summary.waiting[waiting.place.tier];
+    }
+    return summary;
+}
+
 DispatchLoad BaselineDispatcher::load() const
 {
     DispatchLoad load;
--- a/src/dispatch/BaselineDispatcher.h
+++ b/src/dispatch/BaselineDispatcher.h
@@ -22,6 +22,7 @@
     std::optional<MonotonicTime> nextWakeup() const;
     const DispatchCounters& counters() const { return m_counters; }
     DispatchLoad load() const;
+    DispatchSummary summarize() const;
 
 private:
     struct Waiting {
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -49,6 +49,11 @@
     return std::visit([](const auto& it) { return it->load(); }, m_implementation);
 }
 
+DispatchSummary Dispatcher::summarize() const
+{
+    return std::visit([](const auto& it) { return it->summarize(); }, m_implementation);
+}
+
 const DispatchCounters& Dispatcher::counters() const
 {
     return std::visit([](const auto& it) -> const DispatchCounters& { return it->counters(); }, m_implementation);
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -93,6 +93,19 @@
     std::map<BackendServerId, int> busy; // granted requests by backend server
 };
 
+// What a dispatcher believes at one moment, for the log.
+struct DispatchSummary {
+    std::map<Tier, std::size_t> waiting;
+    std::size_t suspects = 0; // waiting for a server of their own
+    int servers = 0;
+    int leavingServers = 0;
+    int ejectedServers = 0;
+    int isolatedServers = 0; // kept free for a suspect, or running one
+    int busySlots = 0;
+    int readingServers = 0; // with prompts that are not read yet
+    Duration unread {}; // mean time to read those prompts, over all servers
+};
+
 class PolicyDispatcher;
 class BaselineDispatcher;
 
@@ -113,6 +126,7 @@
     const DispatchCounters& counters() const;
     // Running and waiting requests at this moment, for the planning of backend servers.
     DispatchLoad load() const;
+    DispatchSummary summarize() const;
 
 private:
     using Implementation = std::variant<std::unique_ptr<PolicyDispatcher>, std::unique_ptr<BaselineDispatcher>>;
--- a/src/dispatch/PolicyDispatcher.cpp
+++ b/src/dispatch/PolicyDispatcher.cpp
@@ -314,4 +314,25 @@
     return load;
 }
 
+DispatchSummary PolicyDispatcher::summarize() const
+{
+    DispatchSummary summary;
+    for (const auto& [tier, queue] : m_state.queues) {
+        summary.waiting[tier] = queue.size();
+    }
+    summary.suspects = m_state.suspects.size();
+    double unread = 0;
+    for (const auto& [id, state] : m_state.pool.servers()) {
+        ++summary.servers;
+        summary.leavingServers += state.server.leaving ? 1 : 0;
+        summary.ejectedServers += state.health.isEjected() ? 1 : 0;
+        summary.isolatedServers += state.isolated ? 1 : 0;
+        summary.busySlots += state.inFlight;
+        summary.readingServers += state.pendingWork > 0 ? 1 : 0;
+        unread += state.pendingWork * state.secondsPerPromptToken();
+    }
+    summary.unread = fromSeconds(unread / std::max(1, summary.servers));
+    return summary;
+}
+
 } // namespace lagoonspoke
--- a/src/dispatch/PolicyDispatcher.h
+++ b/src/dispatch/PolicyDispatcher.h
@@ -23,6 +23,7 @@
     std::optional<MonotonicTime> nextWakeup() const;
     const DispatchCounters& counters() const { return m_state.counters; }
     DispatchLoad load() const;
+    DispatchSummary summarize() const;
 
 private:
     void configure(const Configuration&);
--- a/src/dispatch/ServerPool.h
+++ b/src/dispatch/ServerPool.h
@@ -22,6 +22,7 @@
     void setMemory(Tokens);
     ServerState* find(const BackendServerId&);
     std::map<BackendServerId, ServerState>& servers() { return m_servers; }
+    const std::map<BackendServerId, ServerState>& servers() const { return m_servers; }
 
     // Sets each server's usable slots from its measured rate relative to the pool's median.
     void updateRates();
