Let lasting servers stand in for cheap ones that are evicted

The cheap ones were reclaimed at 3.5 and 12.8 s, the platform refused new ones until 22 s, and the planner asked for nothing else: 34 of 60 servers carried two bursts. Ruled out: suspects (none), dispatcher lost (its gap is 2 s of the 20). Change: the lasting servers wanted are those of the plan and one for each missing cheap server, whether lasting ones are there or must be ordered. They are given back when the cheap ones serve, as before. Test: CapacityPlannerTest "Lasting servers stand in for cheap ones that are evicted"; it failed before (no lasting order). The expectation of "An order is repeated" grows by that order.

--- a/src/fleet/CapacityPlanner.cpp
+++ b/src/fleet/CapacityPlanner.cpp
@@ -43,10 +43,10 @@
             ++(server.cheap ? cheap : lasting);
         }
     }
-    // What the cheap servers do not carry yet stays on lasting ones, as far as there are any.
+    // Lasting servers carry what cheap ones do not: at the start, after an eviction, and while none can be had.
     auto missing = std::max(0, counts.spot - cheap);
-    auto kept = std::max(counts.onDemand, std::min(lasting, counts.onDemand + missing));
     auto most = deployment.maxServersPerDataCentre;
+    auto kept = counts.onDemand + missing;
     auto wantedCheap = most > 0 ? std::min(counts.spot, most - kept) : counts.spot;
     std::vector<WishedCount> orders;
     for (const auto& wished :
--- a/src/fleet/CapacityPlanner.h
+++ b/src/fleet/CapacityPlanner.h
@@ -19,8 +19,8 @@
 };
 
 // Plans the servers of one deployment for a platform that takes wished numbers for each data centre: a few servers that
-// last in every data centre, which carry the protected tiers, and cheap ones for the rest. Lasting servers are given
-// back only once the cheap ones that replace them serve. Pure; owned by CapacityService.
+// last in every data centre, which carry the protected tiers, and cheap ones for the rest. Lasting servers stand in for
+// cheap ones that are missing, and are given back once these serve. Pure; owned by CapacityService.
 class CapacityPlanner {
 public:
     struct Options {
