Keep a member's capacity when news of a suspicion arrives

Cause: news of a suspected or dead member carries no places and no capacity, and the table took the default capacity of a whole core for it. Ruled out: restarts that take domains back (the weight holds the start of the process), an owner that believes itself suspected (it is always alive to itself). Change: the table keeps the capacity with the places. dispatcher_stopped names the new owner, which showed the cause. Test: MemberTableTest; without the change the owner is the suspected small instance.

--- a/src/daemon/ControlLoop.cpp
+++ b/src/daemon/ControlLoop.cpp
@@ -241,7 +241,9 @@
             },
             [&](DropDispatcher& it) {
                 if (m_dispatchers.erase(it.domain)) {
-                    LogLine(LogLevel::Info, "dispatcher_stopped").add("domain", it.domain.value());
+                    LogLine(LogLevel::Info, "dispatcher_stopped")
+                        .add("domain", it.domain.value())
+                        .add("owner", it.owner ? it.owner->value() : "none");
                 }
                 // The new dispatcher must not wait for the floor of one that grants nothing any more.
                 if (auto floor = m_floors.extract(it.domain); floor && floor.mapped().tier != AdmissionFloors::open) {
--- a/src/dispatch/PlacementRouter.cpp
+++ b/src/dispatch/PlacementRouter.cpp
@@ -316,7 +316,7 @@
     const DomainId& id, Domain& domain, std::optional<InstanceId> owner, MonotonicTime now)
 {
     if (domain.owner == m_options.self) {
-        m_actions.emplace_back(DropDispatcher { id });
+        m_actions.emplace_back(DropDispatcher { id, owner });
         for (const auto& entry : std::exchange(domain.entries, {})) {
             if (entry != m_options.self) {
                 askForResync(entry, id);
--- a/src/dispatch/PlacementRouter.h
+++ b/src/dispatch/PlacementRouter.h
@@ -62,6 +62,7 @@
 // This instance no longer owns the domain.
 struct DropDispatcher {
     DomainId domain;
+    std::optional<InstanceId> owner; // from now on
 };
 
 struct DeliverToThread {
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -69,6 +69,7 @@
         member.dataCentre = it->dataCentre;
         member.region = it->region;
         member.peerAddress = it->peerAddress;
+        member.capacity = it->capacity;
     }
     replace(it, std::move(member));
     return true;
--- /dev/null
+++ b/src/membership/MemberTableTest.cpp
@@ -0,0 +1,35 @@
+#include "membership/MemberTable.h"
+
+#include <catch2/catch.hpp>
+
+#include "membership/Rendezvous.h"
+
+namespace lagoonspoke {
+
+namespace {
+
+Member makeMember(const std::string& id, std::uint16_t capacity)
+{
+    Member member { InstanceId(id), DataCentreId("a"), RegionId("r"), "10.0.0.1:1", makeIncarnation(5) };
+    member.capacity = capacity;
+    return member;
+}
+
+} // namespace
+
+// Guards against a small instance that takes every dispatcher over as soon as it is suspected: news of a suspicion
+// carries no places and no capacity, and the default capacity is larger than that of any instance.
+TEST_CASE("News without places keeps the member's places and capacity")
+{
+    MemberTable table(makeMember("large", 50));
+    REQUIRE(table.merge(makeMember("small", 12)));
+    Member news { InstanceId("small"), {}, {}, {}, makeIncarnation(5), MemberState::Suspect };
+    REQUIRE(table.merge(news));
+    const auto* member = table.find(InstanceId("small"));
+    CHECK(member->state == MemberState::Suspect);
+    CHECK(member->peerAddress == "10.0.0.1:1");
+    CHECK(member->capacity == 12);
+    CHECK(ownerOf(DomainId("r/m"), table.members()) == InstanceId("large"));
+}
+
+} // namespace lagoonspoke
