Order a team's classes within its tier, and predict waits from unread prompt

Waits were predicted from slots, of which a third were in use, while the engines were busy reading prompts: requests were held to half of their deadline and then given up. Ruled out: suspects, team limits, a stuck dispatcher (requests_waiting shows none of them). The wait for an engine whose prompts are known is the unread prompt ahead over what the engines read in a second. A stream whose caller leaves early is given up, with a refusal that says not run, before the caller does. Retry-After is the time that the queue ahead needs, at most a third of the caller's time.

--- a/include/lagoonspoke/config/Configuration.h
+++ b/include/lagoonspoke/config/Configuration.h
@@ -28,6 +28,8 @@
     Duration firstTokenTarget = std::chrono::milliseconds(1700);
     // Target for the time between two tokens.
     Duration tokenGapTarget = std::chrono::milliseconds(28);
+    // Callers leave a stream that has sent nothing for this time; zero when they wait until the deadline.
+    Duration callerPatience {};
     // A request without an answer after this time is given up.
     Duration deadline = std::chrono::seconds(60);
     // Most requests of this class that may wait in one domain.
@@ -43,7 +45,7 @@
 
 struct TeamSpec {
     TeamId name;
-    // Replaces the tier of the class for this team's requests.
+    // Comes before the tier of the class for this team's requests.
     std::optional<Tier> tier = {};
     // Share of a tier's capacity relative to other teams.
     double weight = 1;
--- a/src/config/ConfigurationSnapshot.cpp
+++ b/src/config/ConfigurationSnapshot.cpp
@@ -1,5 +1,7 @@
 #include "lagoonspoke/config/ConfigurationSnapshot.h"
 
+#include <algorithm>
+
 namespace lagoonspoke {
 
 namespace {
@@ -10,6 +12,18 @@
     return it == map.end() ? nullptr : &it->second;
 }
 
+// Tiers of classes within one tier of a team, and the most of both together: a tier is one byte, and its largest value
+// stands for an open floor.
+constexpr std::uint8_t tiersOfTeam = 16;
+constexpr std::uint8_t lowestOfTeam = 14;
+
+Tier combineTiers(Tier ofTeam, Tier ofClass)
+{
+    auto team = std::min(ofTeam.level, lowestOfTeam);
+    auto within = std::min<std::uint8_t>(ofClass.level, tiersOfTeam - 1);
+    return { static_cast<std::uint8_t>(team * tiersOfTeam + within) };
+}
+
 bool isPathPrefix(std::string_view prefix, std::string_view path)
 {
     if (!path.starts_with(prefix)) {
@@ -33,6 +47,13 @@
         for (const auto& digest : team.keys) {
             m_teamsByKey.emplace(digest, &team);
         }
+        m_teamsHaveTiers = m_teamsHaveTiers || team.tier;
+    }
+    for (const auto& [className, spec] : m_configuration.classes) {
+        m_tiers.insert(tierOf(nullptr, spec));
+        for (const auto& [name, team] : m_configuration.teams) {
+            m_tiers.insert(tierOf(&team, spec));
+        }
     }
 }
 
@@ -57,6 +78,16 @@
     return findIn(m_configuration.deployments, name);
 }
 
+Tier ConfigurationSnapshot::tierOf(const TeamSpec* team, const ClassSpec& spec) const
+{
+    return m_teamsHaveTiers ? combineTiers(team ? team->tier.value_or(spec.tier) : spec.tier, spec.tier) : spec.tier;
+}
+
+int ConfigurationSnapshot::rankOf(Tier tier) const
+{
+    return static_cast<int>(std::distance(m_tiers.begin(), m_tiers.lower_bound(tier)));
+}
+
 const RouteSpec* ConfigurationSnapshot::findRoute(std::string_view path, std::string_view host) const
 {
     const RouteSpec* best = nullptr;
--- a/src/dispatch/Admission.cpp
+++ b/src/dispatch/Admission.cpp
@@ -28,6 +28,11 @@
     // Predicted lengths are uncertain: half of the time is left for a grant in any case.
     auto service = m_state.times.firstToken() + m_state.times.perToken() * waiting->predictedOutput;
     waiting->latestStart = waiting->deadline - std::min(service, place.remaining / 2);
+    if (spec.callerPatience > Duration(0)) {
+        // The caller leaves before the deadline when nothing has arrived by then.
+        auto leaves = now - place.waited + spec.callerPatience;
+        waiting->latestStart = std::min(waiting->latestStart, leaves - m_state.times.firstToken());
+    }
     return waiting;
 }
 
--- a/src/dispatch/DispatchState.cpp
+++ b/src/dispatch/DispatchState.cpp
@@ -94,21 +94,24 @@
 
 double DispatchState::predictedWait(Tier tier, MonotonicTime now)
 {
-    double work = 0;
+    // In seconds that a slot is held, or in tokens of prompt to read.
+    bool reads = pool.knowsPrompts();
+    auto workOf = [&](const auto& key) { return reads ? times.promptWorkOf(key) : times.secondsOf(key); };
+    double work = reads ? pool.unreadTokens() : 0;
     double higherLoad = 0;
     for (const auto& [level, queue] : queues) {
         if (tier.isHigherThan(level)) {
             break;
         }
         for (const auto& [className, count] : queue.classes()) {
-            work += static_cast<double>(count) * times.secondsOf(className);
+            work += static_cast<double>(count) * workOf(className);
         }
         if (level.isHigherThan(tier)) {
-            higherLoad += shares.arrivalsPerSecond(level, now) * times.secondsOf(level);
+            higherLoad += shares.arrivalsPerSecond(level, now) * workOf(level);
         }
     }
-    double slots = std::max(1, pool.expectedSlots());
-    return work / std::max(slots * smallestShareLeft, slots - higherLoad);
+    double rate = reads ? std::max(1.0, pool.tokensReadPerSecond()) : std::max(1, pool.expectedSlots());
+    return work / std::max(rate * smallestShareLeft, rate - higherLoad);
 }
 
 } // namespace lagoonspoke
--- a/src/dispatch/DispatchState.h
+++ b/src/dispatch/DispatchState.h
@@ -44,7 +44,8 @@
     // Frees the slot of a grant that ended; the grant must be removed from the table already or hold no slot later.
     void freeSlot(const GrantedRequest&);
 
-    // Predicted seconds until the last waiting request of the tier has a slot.
+    // Predicted seconds until the last waiting request of the tier is granted: until it has a slot, or until engines
+    // whose prompts are known have read what is ahead of it.
     double predictedWait(Tier, MonotonicTime now);
 
     DispatchOptions options;
--- a/src/dispatch/GrantScheduler.cpp
+++ b/src/dispatch/GrantScheduler.cpp
@@ -154,6 +154,7 @@
     granted.charged = waiting->cost;
     granted.promptWork = ServerSelector::promptWork(m_state.selector.uncachedTokens(server, granted.place));
     granted.workAhead = server.pendingWork;
+    m_state.times.recordPromptWork(granted.place.className, granted.place.tier, granted.promptWork);
     granted.inFlightThen = server.inFlight;
     granted.guaranteed = guaranteed;
     granted.alone = server.runsSuspect;
--- a/src/dispatch/ServerPool.cpp
+++ b/src/dispatch/ServerPool.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "dispatch/ServerSelector.h"
+
 namespace lagoonspoke {
 
 namespace {
@@ -155,6 +157,26 @@
     return sum;
 }
 
+double ServerPool::unreadTokens() const
+{
+    double sum = 0;
+    for (const auto& [id, state] : m_servers) {
+        sum += isUsable(state) ? state.pendingWork : 0;
+    }
+    return sum;
+}
+
+double ServerPool::tokensReadPerSecond() const
+{
+    double sum = 0;
+    for (const auto& [id, state] : m_servers) {
+        if (isUsable(state)) {
+            sum += 1 / (state.secondsPerPromptToken() * ServerSelector::loadFactor(state.inFlight, state.server.slots));
+        }
+    }
+    return sum;
+}
+
 std::optional<MonotonicTime> ServerPool::nextProbe() const
 {
     std::optional<MonotonicTime> next;
--- a/src/dispatch/ServerPool.h
+++ b/src/dispatch/ServerPool.h
@@ -39,6 +39,11 @@
     // Slots once servers that were ejected or run a suspect request for a short time are back.
     int expectedSlots() const;
     std::optional<MonotonicTime> nextProbe() const;
+    // Whether the servers are model engines whose prompts are known part by part.
+    bool knowsPrompts() const { return m_memory.count > 0; }
+    // Prompt tokens that the usable servers have not read yet, and how many all of them read in a second.
+    double unreadTokens() const;
+    double tokensReadPerSecond() const;
 
 private:
     void eject(ServerState&, MonotonicTime now);
--- a/src/dispatch/ServiceTimes.cpp
+++ b/src/dispatch/ServiceTimes.cpp
@@ -42,6 +42,23 @@
     update(m_firstToken, toSeconds(time));
 }
 
+void ServiceTimes::recordPromptWork(const ClassName& className, Tier tier, double tokens)
+{
+    update(m_promptWork, tokens);
+    update(m_promptWorkByClass.try_emplace(className, tokens).first->second, tokens);
+    update(m_promptWorkByTier.try_emplace(tier, tokens).first->second, tokens);
+}
+
+double ServiceTimes::promptWorkOf(const ClassName& className) const
+{
+    return find(m_promptWorkByClass, className, m_promptWork);
+}
+
+double ServiceTimes::promptWorkOf(Tier tier) const
+{
+    return find(m_promptWorkByTier, tier, m_promptWork);
+}
+
 double ServiceTimes::secondsOf(const ClassName& className) const
 {
     return find(m_byClass, className, m_all);
--- a/src/dispatch/Shedder.cpp
+++ b/src/dispatch/Shedder.cpp
@@ -12,6 +12,8 @@
 constexpr int mostRefusals = 64;
 constexpr Duration shortestRetry = std::chrono::milliseconds(100);
 constexpr Duration longestRetry = std::chrono::seconds(60);
+// Leaves a refused caller two thirds of its time for the second attempt.
+constexpr int largestRetryDivisor = 3;
 
 } // namespace
 
@@ -71,8 +73,8 @@
 
 Duration Shedder::retryAfter(Tier tier, const WaitingRequest& victim, MonotonicTime now)
 {
-    // After this time the queue would be short enough for the request's deadline.
-    auto wait = fromSeconds(m_state.predictedWait(tier, now)) - victim.place.remaining;
+    // What is ahead of the request now has run by then; a caller cannot use more than a part of its time.
+    auto wait = std::min(fromSeconds(m_state.predictedWait(tier, now)), (victim.deadline - now) / largestRetryDivisor);
     return std::clamp(wait, shortestRetry, longestRetry);
 }
 
--- a/src/entry/RequestAdmission.cpp
+++ b/src/entry/RequestAdmission.cpp
@@ -262,7 +262,7 @@
     if (equalsIgnoringCase(head.header("x-idempotent"), "false")) {
         request.idempotent = false;
     }
-    request.tier = request.classSpec->tier;
+    request.tier = snapshot.tierOf(request.team, *request.classSpec);
     request.deadline = request.classSpec->deadline;
     request.method = head.method;
     request.target = head.target;
--- a/src/entry/RequestAdmission.h
+++ b/src/entry/RequestAdmission.h
@@ -42,7 +42,8 @@
     // Whether a stream that broke may go on at another backend server after the last event that arrived.
     bool resumable = false;
     TargetName targetName;
-    Tier tier; // of the class, or of the team where that replaces it
+    Tier tier; // of the team's requests of the class
+    int rank = 0; // number of tiers that come before it
     // The caller's own name of the request, which backend servers echo; empty when the entry names it.
     std::string callerId;
     // How long the caller waits, counted from the arrival of the head; the class's deadline when shorter.
