--- a/src/fleet/CapacityPlannerTest.cpp
+++ b/src/fleet/CapacityPlannerTest.cpp
@@ -68,9 +68,9 @@
 {
     auto planner = makePlanner();
     planner.adjust(makeDeployment(), near, makeServers(2, 4), MonotonicTime(10s));
-    auto evicted = planner.adjust(makeDeployment(), near, makeServers(2, 0), MonotonicTime(11s));
+    auto evicted = planner.adjust(makeDeployment(), near, makeServers(2, 0), MonotonicTime(13s));
     CHECK(evicted == std::vector<WishedCount> { { near, true, 4 }, { near, false, 6 } });
-    CHECK(planner.adjust(makeDeployment(), near, makeServers(6, 0), MonotonicTime(12s)).empty());
+    CHECK(planner.adjust(makeDeployment(), near, makeServers(6, 0), MonotonicTime(14s)).empty());
     auto back = planner.adjust(makeDeployment(), near, makeServers(6, 4), MonotonicTime(30s));
     CHECK(back == std::vector<WishedCount> { { near, false, 2 } });
 }
