Make fewer calls to the store: pauses between watches, longer retries

Change: a watch that brought changes is followed by the next one 100 ms later; lists of a store that is away are retried after 1.5 s at most, records of usage after 3 s; the list of instances is asked for every 5 s once it was read. Test: CollectionFollowerTest "The next watch begins after a pause".

--- a/src/external/CollectionDirectory.cpp
+++ b/src/external/CollectionDirectory.cpp
@@ -92,7 +92,9 @@
         noteItems(items);
         m_state->applyServers(items, m_decode);
     };
-    m_watcher = std::make_unique<CollectionWatcher>(io, "servers", m_servers, m_options.follower, std::move(callbacks));
+    auto follower = m_options.follower;
+    follower.watchPause = m_options.watchPause;
+    m_watcher = std::make_unique<CollectionWatcher>(io, "servers", m_servers, follower, std::move(callbacks));
     m_watcher->start();
     asio::co_spawn(io, State::registerSelf(m_state), asio::detached);
     asio::co_spawn(io, State::listInstances(m_state), asio::detached);
@@ -251,7 +253,8 @@
             self->applyInstances(*list);
             first = false;
         }
-        self->timer.expires_after(list ? self->options.instanceInterval : self->options.registrationRetry);
+        // Once the first list is there, members tell each other of new ones.
+        self->timer.expires_after(first ? self->options.registrationRetry : self->options.instanceInterval);
         co_await self->timer.async_wait(useTuple);
     }
 }
--- a/src/external/CollectionDirectory.h
+++ b/src/external/CollectionDirectory.h
@@ -16,6 +16,8 @@
         // Instances hear of each other by membership messages; the list only finds those that no message reached.
         Duration instanceInterval = std::chrono::seconds(5);
         Duration registrationRetry = std::chrono::milliseconds(500);
+        // Servers of a fleet report one by one; the news that one leaves may be this much later of some seconds.
+        Duration watchPause = std::chrono::milliseconds(100);
     };
     // Nothing for an entry that names no usable server; an error for one that cannot be read.
     using DecodeServer
--- a/src/external/CollectionFollower.cpp
+++ b/src/external/CollectionFollower.cpp
@@ -29,6 +29,9 @@
         m_retryAt.reset();
         m_actions.emplace_back(ListCollection {});
     }
+    if (m_watchAt && *m_watchAt <= now) {
+        watch(Duration(0), now);
+    }
     dropOverdue(now);
     return std::exchange(m_actions, {});
 }
@@ -36,6 +39,9 @@
 std::optional<MonotonicTime> CollectionFollower::nextWakeup() const
 {
     auto next = m_retryAt;
+    if (m_watchAt) {
+        next = std::min(next.value_or(*m_watchAt), *m_watchAt);
+    }
     for (const auto& [name, until] : m_missing) {
         next = std::min(next.value_or(until), until);
     }
@@ -56,7 +62,7 @@
 {
     noteAnswer(now);
     replaceItems(std::move(listed.list), now);
-    watch();
+    watch(Duration(0), now);
 }
 
 void CollectionFollower::take(CollectionHeard heard, MonotonicTime now)
@@ -110,9 +116,10 @@
 void CollectionFollower::take(CollectionWatched watched, MonotonicTime now)
 {
     noteAnswer(now);
+    auto pause = watched.changes.changes.empty() ? Duration(0) : m_options.watchPause;
     apply(std::move(watched.changes.changes), now);
     m_revision = watched.changes.revision;
-    watch();
+    watch(pause, now);
 }
 
 void CollectionFollower::take(const CollectionHistoryLost&, MonotonicTime now)
@@ -163,10 +170,11 @@
     }
 }
 
-void CollectionFollower::watch()
+void CollectionFollower::watch(Duration pause, MonotonicTime now)
 {
     m_calling = m_watches;
-    if (m_watches) {
+    m_watchAt = m_watches && pause > Duration(0) ? std::optional(now + pause) : std::nullopt;
+    if (m_watches && !m_watchAt) {
         m_actions.emplace_back(WatchCollection { m_revision, m_options.watchWait });
     }
 }
--- a/src/external/CollectionFollower.h
+++ b/src/external/CollectionFollower.h
@@ -61,7 +61,11 @@
     struct Options {
         Duration watchWait = std::chrono::seconds(20);
         Duration firstRetry = std::chrono::milliseconds(100);
-        Duration longestRetry = std::chrono::milliseconds(800);
+        // Half of the time in which a change must be known everywhere; calls that fail are billed as well.
+        Duration longestRetry = std::chrono::milliseconds(1500);
+        // Between a watch that brought changes and the next one: a watch is billed for each answer, and changes of many
+        // items come one by one.
+        Duration watchPause {};
         // Items that the store lost while it was away are back within this time of its return, if their writers live.
         Duration returnGrace = std::chrono::milliseconds(2300);
     };
@@ -98,7 +102,8 @@
     void apply(std::vector<CollectionChange>, MonotonicTime now);
     void put(CollectionItem);
     void remove(const std::string& name, MonotonicTime now);
-    void watch();
+    // Begins the next watch, at once or after a pause.
+    void watch(Duration pause, MonotonicTime now);
     void dropOverdue(MonotonicTime now);
 
     Options m_options;
@@ -114,6 +119,7 @@
     bool m_changed = false;
     std::optional<MonotonicTime> m_returnedAt; // of the store, after it was away
     std::optional<MonotonicTime> m_retryAt;
+    std::optional<MonotonicTime> m_watchAt; // the end of a pause
     Duration m_retryDelay {};
 };
 
--- a/src/external/CollectionFollowerTest.cpp
+++ b/src/external/CollectionFollowerTest.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 struct Kit {
-    Kit()
-        : follower({})
+    explicit Kit(CollectionFollower::Options options = {})
+        : follower(options)
     {
         keep(follower.start(now));
     }
@@ -129,4 +129,25 @@
     CHECK(kit.did<ListCollection>());
 }
 
+// Guards against a billed call for each of many servers that change one after the other, and against a pause that puts
+// off the first change.
+TEST_CASE("The next watch begins after a pause when the last one brought changes")
+{
+    CollectionFollower::Options options;
+    options.watchPause = 300ms;
+    Kit kit(options);
+    kit.send(CollectionListed { { { { "a", "1" } }, 5 } });
+    REQUIRE(kit.did<WatchCollection>());
+    kit.send(CollectionWatched { { { { { "a", "2" }, false } }, 6 } });
+    CHECK(kit.did<CollectionUpdated>());
+    CHECK_FALSE(kit.did<WatchCollection>());
+    REQUIRE(kit.follower.nextWakeup() == kit.now + 300ms);
+    kit.advance(200ms);
+    CHECK_FALSE(kit.did<WatchCollection>());
+    kit.advance(100ms);
+    REQUIRE(kit.did<WatchCollection>());
+    kit.send(CollectionWatched { { {}, 7 } });
+    CHECK(kit.did<WatchCollection>());
+}
+
 } // namespace lagoonspoke
--- a/src/usage/UsageLedger.cpp
+++ b/src/usage/UsageLedger.cpp
@@ -254,6 +254,7 @@
             handleExisting(answer);
         }
         m_creating.reset();
+        m_createRetry = {};
         m_nextSealRead = m_now + m_options.sealPollInterval;
         return;
     case UsageAnswer::Status::Refused:
@@ -265,7 +266,9 @@
     case UsageAnswer::Status::Failed:
         // If the write took effect, the next attempt is refused and finds it.
         m_creating.reset();
-        m_nextCreate = m_now + m_options.storeRetryInterval;
+        m_createRetry = std::clamp(
+            2 * m_createRetry, m_options.storeRetryInterval, m_options.longestStoreRetryInterval);
+        m_nextCreate = m_now + m_createRetry;
         return;
     }
 }
--- a/src/usage/UsageLedger.h
+++ b/src/usage/UsageLedger.h
@@ -52,7 +52,9 @@
         InstanceId writer; // unique for each process
         Duration copyWait = std::chrono::milliseconds(50);
         Duration resendInterval = std::chrono::seconds(1);
+        // Doubles with each failure in a row up to the longest one; calls that fail are billed as well.
         Duration storeRetryInterval = std::chrono::seconds(1);
+        Duration longestStoreRetryInterval = std::chrono::seconds(3);
         Duration sealPollInterval = std::chrono::seconds(2);
     };
 
@@ -121,6 +123,7 @@
     std::optional<UsagePublisher::Record> m_creating;
     std::uint64_t m_createCall = 0;
     MonotonicTime m_nextCreate;
+    Duration m_createRetry {}; // zero after a success
     bool m_readingSeal = false;
     bool m_pollNewest = false;
     std::uint64_t m_sealCall = 0;
