Look for a seal again soon when it is not there yet

A record that missed the seal of its window moves on to the window after the newest seal. Every other poll asks for the newest seal; the two polls of 1.5 s are in step with windows of one second, so a death that is noticed in the 80 ms before the seal of a second is made asks too early each time, for ever. Change: after a read of the newest seal that finds nothing, the ledger asks again after a quarter of the interval.

--- a/src/usage/UsageLedger.cpp
+++ b/src/usage/UsageLedger.cpp
@@ -7,6 +7,13 @@
 
 namespace lagoonspoke {
 
+namespace {
+
+// A seal that is not there yet is looked for after this part of the poll interval.
+constexpr int earlyPollDivisor = 4;
+
+} // namespace
+
 UsageLedger UsageLedger::Make(Options options)
 {
     return UsageLedger(std::move(options));
@@ -225,10 +232,10 @@
     }
     if (auto window = m_publisher.awaitedSeal(); window && !m_readingSeal && m_nextSealRead <= m_now) {
         // The awaited seal may have been deleted while this process was paused. Any later one serves as well.
-        if (m_pollNewest) {
-            window = std::max(*window, m_counter.window() - 2);
-        }
+        auto newest = std::max(*window, m_counter.window() - 2);
+        m_readingNewest = m_pollNewest && newest > *window;
         m_pollNewest = !m_pollNewest;
+        window = m_readingNewest ? newest : *window;
         m_sealCall = ++m_lastCall;
         m_readingSeal = true;
         m_actions.emplace_back(ReadUsageObject { m_sealCall, sealedWindowKey(*window) });
@@ -266,8 +273,8 @@
     case UsageAnswer::Status::Failed:
         // If the write took effect, the next attempt is refused and finds it.
         m_creating.reset();
-        m_createRetry = std::clamp(
-            2 * m_createRetry, m_options.storeRetryInterval, m_options.longestStoreRetryInterval);
+        m_createRetry
+            = std::clamp(2 * m_createRetry, m_options.storeRetryInterval, m_options.longestStoreRetryInterval);
         m_nextCreate = m_now + m_createRetry;
         return;
     }
@@ -285,6 +292,11 @@
     m_readingSeal = false;
     m_nextSealRead = m_now + m_options.sealPollInterval;
     if (answer.status != UsageAnswer::Status::Done) {
+        if (m_readingNewest) {
+            // It may be there in a moment. Polls in step with the windows would miss it every time.
+            m_pollNewest = true;
+            m_nextSealRead = m_now + m_options.sealPollInterval / earlyPollDivisor;
+        }
         return;
     }
     auto sealed = decodeSealedWindow(answer.value);
--- a/src/usage/UsageLedger.h
+++ b/src/usage/UsageLedger.h
@@ -126,6 +126,7 @@
     Duration m_createRetry {}; // zero after a success
     bool m_readingSeal = false;
     bool m_pollNewest = false;
+    bool m_readingNewest = false; // in the read that runs
     std::uint64_t m_sealCall = 0;
     MonotonicTime m_nextSealRead;
 };
--- a/src/usage/UsageLedgerTest.cpp
+++ b/src/usage/UsageLedgerTest.cpp
@@ -1,7 +1,12 @@
 #include "usage/UsageLedger.h"
 
+#include <memory>
+
 #include <catch2/catch.hpp>
 
+#include "lagoonspoke/core/Overload.h"
+#include "usage/UsageObjects.h"
+
 namespace lagoonspoke {
 
 namespace {
@@ -23,6 +28,71 @@
     return nullptr;
 }
 
+// A ledger with a record that is already late, beside a store in which each window of one second is sealed 80 ms after
+// the end of the next one.
+class LateRecord {
+public:
+    // The ledger learns of the death at this time of the second.
+    explicit LateRecord(Duration phase)
+        : m_now(20s + phase)
+    {
+        UsageLedger::Options options;
+        options.writer = InstanceId("a");
+        options.sealPollInterval = 1500ms;
+        m_ledger = std::make_unique<UsageLedger>(UsageLedger::Make(options));
+        drive(UsageWindowOpened { 13 });
+        UsageFact fact { 13, 10, false, { { TeamId("t"), { 10, 0, 200 } } } };
+        drive(UsageMessageReceived { InstanceId("d"), UsageCopy { dead, 0, 10, 13, false, { fact } } });
+        drive(InstanceDied { InstanceId("d") });
+    }
+
+    // Time until a seal contains the record.
+    Duration settle(Duration bound)
+    {
+        auto start = m_now;
+        while (m_now < start + bound && !m_sealed) {
+            m_now += 10ms;
+            drive(UsageWindowOpened { windowNow() });
+        }
+        return m_now - start;
+    }
+
+private:
+    static inline const InstanceId dead { "d~1" };
+
+    WindowNumber windowNow() const { return static_cast<WindowNumber>(m_now / 1s); }
+    bool isSealed(WindowNumber window) const { return m_now >= (window + 2) * 1s + 80ms; }
+
+    void drive(const UsageLedgerEvent& event)
+    {
+        for (auto& action : m_ledger->handle(event, at(m_now))) {
+            std::visit(Overload {
+                           [&](CreateUsageObject& it) { answer(it); },
+                           [&](ReadUsageObject& it) { answer(it); },
+                           [](auto&) {},
+                       },
+                action);
+        }
+    }
+    void answer(const CreateUsageObject& it)
+    {
+        auto window = parseUsageKey(it.key)->window;
+        m_sealed = m_sealed || !isSealed(window);
+        drive(UsageAnswer { it.call, UsageAnswer::Status::Done, {}, {} });
+    }
+    void answer(const ReadUsageObject& it)
+    {
+        SealedWindow sealed;
+        sealed.window = parseUsageKey(it.key)->window;
+        auto status = isSealed(sealed.window) ? UsageAnswer::Status::Done : UsageAnswer::Status::Missing;
+        drive(UsageAnswer { it.call, status, encodeSealedWindow(sealed), {} });
+    }
+
+    Duration m_now;
+    std::unique_ptr<UsageLedger> m_ledger;
+    bool m_sealed = false; // the record is in a window that will be sealed
+};
+
 UsageLedger makeLedger()
 {
     UsageLedger::Options options;
@@ -84,4 +154,14 @@
     }
 }
 
+// Guards against a late record that chases the seals for ever: with polls in step with the windows, each one asked for
+// the newest seal in the moment before it was there.
+TEST_CASE("A late record gets into a seal whenever its writer's death is noticed")
+{
+    for (auto phase = 0ms; phase < 1s; phase += 10ms) {
+        INFO("phase " << phase.count() << " ms");
+        CHECK(LateRecord(phase).settle(60s) <= 10s);
+    }
+}
+
 } // namespace lagoonspoke
