--- a/src/dispatch/PromptPlacement.cpp
+++ b/src/dispatch/PromptPlacement.cpp
@@ -69,8 +69,7 @@
 bool PromptPlacement::mayStart(
     const ServerState& state, const WaitingRequest& waiting, Tokens uncached, MonotonicTime now) const
 {
-    if (!state.hasFreeSlot() || state.declinedSince(now - m_options.declinedPause)
-        || state.cache.isBeingRead(waiting.place, now)) {
+    if (state.declinedSince(now - m_options.declinedPause) || state.cache.isBeingRead(waiting.place, now)) {
         return false;
     }
     if (state.pendingWork <= 0) {
@@ -122,7 +121,8 @@
     Choice free; // the best one that may take the request now
     auto rank = [](const Choice& it) { return std::tuple(it.probe, it.failures, it.cost); };
     for (auto& [id, state] : m_pool.servers()) {
-        if (!isCandidate(state, waiting, excludedAll, now)) {
+        // When a slot becomes free is not known, so nothing waits for one while others are free.
+        if (!state.hasFreeSlot() || !isCandidate(state, waiting, excludedAll, now)) {
             continue;
         }
         auto choice = assess(state, waiting, now);
--- a/src/dispatch/PromptPlacementTest.cpp
+++ b/src/dispatch/PromptPlacementTest.cpp
@@ -17,13 +17,14 @@
 {
     Configuration configuration;
     configuration.number = 1;
-    auto add = [&](const std::string& name, int tier, Duration target, Duration gap) {
+    auto add = [&](const std::string& name, int tier, Duration target, Duration gap, Duration patience) {
         ClassSpec spec;
         spec.name = ClassName(name);
         spec.tier = Tier { static_cast<std::uint8_t>(tier) };
         spec.firstTokenTarget = target;
         spec.tokenGapTarget = gap;
         spec.deadline = 8s;
+        spec.callerPatience = patience;
         configuration.tiers.try_emplace(spec.tier, TierSpec { spec.tier });
         configuration.classes.emplace(spec.name, spec);
         RouteSpec route;
@@ -32,8 +33,8 @@
         route.streamed = true;
         configuration.routes.emplace(name, route);
     };
-    add("chat", 0, 500ms, 300ms);
-    add("plan", 2, 2s, 1200ms);
+    add("chat", 0, 500ms, 300ms, 3s);
+    add("plan", 2, 2s, 1200ms, 0s);
     DeploymentSpec deployment;
     deployment.name = TargetName("m");
     deployment.tokensPerEvent = 4;
@@ -42,11 +43,12 @@
     return ConfigurationSnapshot::Make(std::move(configuration));
 }
 
-// A dispatcher and engines that read 50,000 prompt tokens a second, one prompt after the other.
+// A dispatcher and engines that read 140 prompt tokens in a millisecond, one prompt after the other, and keep the
+// shared parts that they have read.
 class EngineKit {
 public:
-    explicit EngineKit(int servers)
-        : kit(servers, 64)
+    explicit EngineKit(int servers, int slots = 64)
+        : kit(servers, slots)
     {
         kit.send(ConfigurationChanged { makeSnapshot() });
     }
@@ -59,6 +61,7 @@
         place.prefixTokens = { { shared }, { own } };
         place.promptTokens = { shared + own };
         place.remaining = 8s;
+        m_prompts[id] = { part, shared, own };
         kit.sendFromEntry(std::move(place));
         takeGrants();
     }
@@ -74,6 +77,9 @@
         }
     }
 
+    // Ends the request, whose first token must have come.
+    void finish(const std::string& id) { kit.finish(id); }
+
     std::map<std::string, BackendServerId> granted; // by request
     PolicyTestKit kit;
 
@@ -83,29 +89,47 @@
         for (const auto& id : std::exchange(kit.granted, {})) {
             const auto& grant = kit.grants.at(id);
             granted[id] = grant.server;
-            m_reading.emplace_back(grant, kit.now + 100ms);
+            const auto& prompt = m_prompts.at(id);
+            bool known = !m_parts[grant.server].insert(prompt.part).second;
+            auto& engine = m_freeAt[grant.server];
+            engine = std::max(engine, kit.now) + (prompt.own + (known ? 0 : prompt.shared)) * 1ms / 140;
+            m_reading.push_back({ grant, kit.now, engine });
         }
     }
 
     void finishReading()
     {
         for (auto it = m_reading.begin(); it != m_reading.end();) {
-            if (it->second > kit.now) {
+            if (it->until > kit.now) {
                 ++it;
                 continue;
             }
             Progress progress;
-            progress.request = it->first.request;
-            progress.grant = it->first.grant;
+            progress.request = it->grant.request;
+            progress.grant = it->grant.grant;
             progress.firstByteSeen = true;
-            progress.timeToFirstByte = 100ms;
+            progress.timeToFirstByte = it->until - it->since;
             kit.sendFromEntry(progress);
             it = m_reading.erase(it);
         }
         takeGrants();
     }
 
-    std::vector<std::pair<Grant, MonotonicTime>> m_reading;
+    struct Prompt {
+        std::uint64_t part = 0;
+        int shared = 0; // tokens
+        int own = 0;
+    };
+    struct Reading {
+        Grant grant;
+        MonotonicTime since;
+        MonotonicTime until;
+    };
+
+    std::vector<Reading> m_reading;
+    std::map<std::string, Prompt> m_prompts; // by request
+    std::map<BackendServerId, MonotonicTime> m_freeAt;
+    std::map<BackendServerId, std::set<std::uint64_t>> m_parts;
 };
 
 } // namespace
@@ -217,4 +241,68 @@
     CHECK(engines.granted.at("p") == BackendServerId("s4"));
 }
 
+// Guards against requests that are held until half of their time is over and then given up: slots were free all the
+// time, but the engines had ten seconds of prompt to read.
+TEST_CASE("A burst that the engines cannot read in time is refused when it arrives")
+{
+    EngineKit engines(2);
+    for (int i = 0; i < 10; ++i) {
+        engines.place(fmt::format("before{}", i), "plan", 100 + static_cast<std::uint64_t>(i), 13000, 1000);
+        engines.run(300ms);
+        engines.finish(fmt::format("before{}", i));
+    }
+    constexpr int burst = 300;
+    for (int i = 0; i < burst; ++i) {
+        engines.place(fmt::format("p{}", i), "plan", 1000 + static_cast<std::uint64_t>(i), 13000, 1000);
+        engines.run(5ms);
+    }
+    engines.run(200ms);
+    // 300 prompts of 14,000 tokens, at 140,000 tokens a second on each engine, take 15 s; requests have 8.
+    CHECK(engines.kit.refusals.size() > burst / 4);
+    CHECK(engines.kit.refusals.size() < burst);
+    for (const auto& [id, refusal] : engines.kit.refusals) {
+        CHECK(refusal.code == RefusalCode::Overloaded);
+        CHECK(refusal.retryAfter > 500ms);
+        CHECK(refusal.retryAfter <= 3s);
+    }
+}
+
+// Guards against requests that wait for an engine without a free slot, whose prompts are all read, beside idle ones.
+TEST_CASE("A request does not wait for an engine that has no free slot")
+{
+    EngineKit engines(2, 4);
+    for (int i = 0; i < 4; ++i) {
+        engines.place(fmt::format("p{}", i), "plan", 7, 13000, 1000);
+        engines.run(150ms);
+    }
+    auto full = engines.granted.at("p0");
+    REQUIRE(engines.granted.at("p3") == full);
+    engines.place("next", "plan", 7, 13000, 1000);
+    REQUIRE(engines.granted.contains("next"));
+    CHECK(engines.granted.at("next") != full);
+}
+
+// Guards against streams that wait without any answer until their callers leave.
+TEST_CASE("A waiting stream gets its refusal before its caller leaves")
+{
+    EngineKit engines(1, 1);
+    engines.place("running", "plan", 1, 13000, 1000);
+    engines.place("waiting", "chat", 2, 200, 900);
+    engines.run(2s);
+    CHECK(engines.kit.refusals.empty());
+    engines.run(950ms);
+    CHECK(engines.kit.refusals.contains("waiting"));
+}
+
+// Guards against chat requests that wait for every long prompt that an engine reads.
+TEST_CASE("A short prompt starts beside a long one that is being read")
+{
+    EngineKit engines(1);
+    engines.place("long", "plan", 1, 13000, 1000);
+    engines.place("short", "chat", 2, 200, 900);
+    CHECK(engines.granted.contains("short"));
+    engines.place("second", "plan", 3, 13000, 1000);
+    CHECK_FALSE(engines.granted.contains("second"));
+}
+
 } // namespace lagoonspoke
