Let copy holders record for an instance that the store turns away, and keep both polls for seals

The store turned single instances away for 8 s; their copy holders had the figures and waited, as copies are recorded only for an instance that is dead or leaves. Ruled out: clocks that jump (none did), late records of instances that reach the store (written within 250 ms). Change: after a record that could not be written, an instance flags its copies as a leaving one does, until a record is written. After a poll for the newest seal that finds nothing, the next poll is early but asks for the older one. Tests: "Copy holders record the usage of an instance that the store turns away" fails without the flag.

--- a/src/usage/UsageLedger.cpp
+++ b/src/usage/UsageLedger.cpp
@@ -158,7 +158,7 @@
     auto& holder = m_holders.at(id);
     holder.nextSend = m_now + m_options.resendInterval;
     for (auto& copy : m_counter.makeCopies(holder.acknowledged)) {
-        copy.leaving = m_leaving;
+        copy.leaving = m_leaving || m_storeRefuses;
         m_actions.emplace_back(SendUsageMessage { id, std::move(copy) });
     }
     for (auto& copy : missingOrphans(holder)) {
@@ -262,6 +262,7 @@
         }
         m_creating.reset();
         m_createRetry = {};
+        setStoreRefuses(false);
         m_nextSealRead = m_now + m_options.sealPollInterval;
         return;
     case UsageAnswer::Status::Refused:
@@ -276,10 +277,19 @@
         m_createRetry
             = std::clamp(2 * m_createRetry, m_options.storeRetryInterval, m_options.longestStoreRetryInterval);
         m_nextCreate = m_now + m_createRetry;
+        setStoreRefuses(true);
         return;
     }
 }
 
+// The store may turn this instance away and serve its copy holders, which then write its records before the seal.
+void UsageLedger::setStoreRefuses(bool refuses)
+{
+    if (std::exchange(m_storeRefuses, refuses) != refuses) {
+        sendCopiesToAll();
+    }
+}
+
 void UsageLedger::handleExisting(const UsageAnswer& answer)
 {
     // A record that cannot be read says nothing about these facts, so they go elsewhere.
@@ -293,8 +303,7 @@
     m_nextSealRead = m_now + m_options.sealPollInterval;
     if (answer.status != UsageAnswer::Status::Done) {
         if (m_readingNewest) {
-            // It may be there in a moment. Polls in step with the windows would miss it every time.
-            m_pollNewest = true;
+            // Polls in step with the windows would ask for it too early every time.
             m_nextSealRead = m_now + m_options.sealPollInterval / earlyPollDivisor;
         }
         return;
--- a/src/usage/UsageLedger.h
+++ b/src/usage/UsageLedger.h
@@ -100,6 +100,7 @@
     void startCalls();
     void handleAnswer(const UsageAnswer&);
     void handleCreated(const UsageAnswer&);
+    void setStoreRefuses(bool);
     void handleExisting(const UsageAnswer&);
     void handleSeal(const UsageAnswer&);
     bool isAwaitingCopies(const Holder&) const;
@@ -117,6 +118,7 @@
     std::vector<Waiter> m_waiters;
     std::map<InstanceId, Holder> m_holders;
     bool m_leaving = false;
+    bool m_storeRefuses = false; // the last record could not be written
     bool m_factsChanged = false;
 
     std::uint64_t m_lastCall = 0;
--- a/src/usage/UsageLedgerTest.cpp
+++ b/src/usage/UsageLedgerTest.cpp
@@ -164,4 +164,38 @@
     }
 }
 
+// Guards against windows that lack an instance's usage: the store turned one instance away for eight seconds, and its
+// peers, which had the copies, waited for it.
+TEST_CASE("Copy holders record the usage of an instance that the store turns away")
+{
+    auto ledger = makeLedger();
+    ledger.handle(UsageCounted { TeamId("t"), { 1, 2, 3 }, 41 }, at(1s));
+    auto isTakenOver = [](const std::vector<UsageLedgerAction>& actions) {
+        std::optional<bool> leaving;
+        for (const auto& action : actions) {
+            const auto* send = std::get_if<SendUsageMessage>(&action);
+            if (const auto* copy = send ? std::get_if<UsageCopy>(&send->message) : nullptr) {
+                leaving = copy->leaving;
+            }
+        }
+        return leaving;
+    };
+    auto findCreation = [](const std::vector<UsageLedgerAction>& actions) -> std::optional<std::uint64_t> {
+        for (const auto& action : actions) {
+            if (const auto* create = std::get_if<CreateUsageObject>(&action)) {
+                return create->call;
+            }
+        }
+        return std::nullopt;
+    };
+    auto call = findCreation(ledger.handle(UsageWindowOpened { 8 }, at(2s)));
+    REQUIRE(call);
+    auto refused = ledger.handle(UsageAnswer { *call, UsageAnswer::Status::Failed, {}, {} }, at(2010ms));
+    CHECK(isTakenOver(refused) == true);
+    call = findCreation(ledger.advance(at(4s)));
+    REQUIRE(call);
+    auto stored = ledger.handle(UsageAnswer { *call, UsageAnswer::Status::Done, {}, {} }, at(4010ms));
+    CHECK(isTakenOver(stored) == false);
+}
+
 } // namespace lagoonspoke
--- a/src/usage/UsageMessages.h
+++ b/src/usage/UsageMessages.h
@@ -18,7 +18,8 @@
     std::uint64_t base = 0;
     std::uint64_t sequence = 0; // the holder has everything up to this increment once it applied the copy
     WindowNumber completeBelow = 0; // facts on earlier windows are sealed and can be dropped
-    bool leaving = false; // the process ends: the holder takes over what is not sealed
+    // The process ends, or the store refuses its records: the holder takes over what is not sealed.
+    bool leaving = false;
     std::vector<UsageFact> facts; // only the teams that changed
 
     bool operator==(const UsageCopy&) const = default;
