Correct the source that a comment gives for the longest retry

The comment on CollectionFollower's longest retry said half of the time in which a change must be known everywhere; that holds for a bound of 3 s, not for the small sites' 2 s. The figure is half of the 3 s after an outage in which news may be late. No code changes.

--- a/src/external/CollectionFollower.h
+++ b/src/external/CollectionFollower.h
@@ -61,7 +61,7 @@
     struct Options {
         Duration watchWait = std::chrono::seconds(20);
         Duration firstRetry = std::chrono::milliseconds(100);
-        // Half of the time in which a change must be known everywhere; calls that fail are billed as well.
+        // Half of the 3 s after an outage in which news may still be late; calls that fail are billed as well.
         Duration longestRetry = std::chrono::milliseconds(1500);
         // Between a watch that brought changes and the next one: a watch is billed for each answer, and changes of many
         // items come one by one.
