Log each refusal and failed attempt with its inputs, and explain a request from the logs of several instances

Cause: the line at the end of a request named its outcome, but neither what the dispatcher, mostly on another instance, had decided it on, nor the attempts before the last one.

Change: the dispatcher logs placement_refused with the tier, the wait, the time to spare, the queue and the unread prompt at the decision; the entry logs attempt_failed with the server, the cause and whether the request may have run. lagoonspokectl explain ID reads logs from standard input, finds the request by its own id or its caller's, adds what decided it (configurations, queues, servers at that time) and concludes in one sentence.

Ruled out: a line for every grant. It would double the lines of a busy dispatcher, and request_finished tells the same.

--- a/include/lagoonspoke/dispatch/Messages.h
+++ b/include/lagoonspoke/dispatch/Messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -103,6 +104,8 @@
     NotOwner, // this instance does not run the domain's dispatcher
 };
 
+std::string_view toString(RefusalCode);
+
 struct Refusal {
     RequestId request;
     RefusalCode code;
--- a/src/daemon/ControlLoop.cpp
+++ b/src/daemon/ControlLoop.cpp
@@ -263,6 +263,7 @@
     for (auto& action : actions) {
         std::visit(Overload {
                        [&](SendToEntry& it) {
+                           logRefusal(domain, it, now);
                            for (auto& routed : m_router.handle(DispatcherOutput { domain, std::move(it) }, now)) {
                                m_work.push_back(std::move(routed));
                            }
@@ -277,6 +278,28 @@
     }
 }
 
+void ControlLoop::logRefusal(const DomainId& domain, const SendToEntry& sent, MonotonicTime now) const
+{
+    const auto* refusal = std::get_if<Refusal>(&sent.message);
+    if (!refusal || !sent.inputs) {
+        return;
+    }
+    const auto& inputs = *sent.inputs;
+    LogLine(LogLevel::Warning, "placement_refused")
+        .add("request", refusal->request.value())
+        .add("domain", domain.value())
+        .add("reason", toString(refusal->code))
+        .add("retry_after_ms", toMilliseconds(refusal->retryAfter))
+        .add("tier", inputs.tier.level)
+        .add("attempt", inputs.attempt)
+        .add("waited_ms", toMilliseconds(now - inputs.queued))
+        .add("spare_ms", toMilliseconds(inputs.latestStart - now))
+        .add("waiting_in_tier", inputs.waitingInTier)
+        .add("servers", inputs.servers)
+        .add("unread_tokens", inputs.unreadTokens)
+        .add("configuration", m_snapshot ? m_snapshot->number() : 0);
+}
+
 void ControlLoop::publishFloor(const DomainId& domain, Tier tier)
 {
     auto now = readMonotonicClock();
--- a/src/dispatch/DispatchState.cpp
+++ b/src/dispatch/DispatchState.cpp
@@ -63,7 +63,10 @@
 void DispatchState::refuse(const WaitingRequest& waiting, RefusalCode code, Duration retryAfter)
 {
     ++counters.refusals.at(static_cast<std::size_t>(code));
-    actions.emplace_back(SendToEntry { waiting.entry, Refusal { waiting.place.request, code, retryAfter } });
+    auto queue = queues.find(waiting.place.tier);
+    RefusalInputs inputs { waiting.place.tier, waiting.place.attempt, waiting.queued, waiting.latestStart,
+        queue == queues.end() ? 0 : queue->second.size(), pool.servers().size(), pool.unreadTokens() };
+    actions.emplace_back(SendToEntry { waiting.entry, Refusal { waiting.place.request, code, retryAfter }, inputs });
 }
 
 void DispatchState::drop(const RequestId& request, RefusalCode code, Duration retryAfter)
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -70,9 +70,21 @@
 using DispatchEvent = std::variant<EntryMessageReceived, EntryLost, ServersChanged, ConfigurationChanged, LoadReported,
     CacheEventsReported, QuarantineHeard, FloorHeard>;
 
+// What a refusal was decided on, for the log.
+struct RefusalInputs {
+    Tier tier;
+    int attempt = 1;
+    MonotonicTime queued;
+    MonotonicTime latestStart; // a grant after it would have been too late
+    std::size_t waitingInTier = 0;
+    std::size_t servers = 0;
+    double unreadTokens = 0; // of prompts that all engines together have yet to read
+};
+
 struct SendToEntry {
     InstanceId entry;
     DispatcherMessage message;
+    std::optional<RefusalInputs> inputs = {}; // of a refusal
 };
 
 struct PublishQuarantine {
--- a/src/entry/RequestMachine.cpp
+++ b/src/entry/RequestMachine.cpp
@@ -365,4 +365,23 @@
     return m_impl->m_attempts;
 }
 
+std::string_view toString(AttemptFailure cause)
+{
+    switch (cause) {
+    case AttemptFailure::Unreachable:
+        return "unreachable";
+    case AttemptFailure::Broken:
+        return "broken";
+    case AttemptFailure::TimedOut:
+        return "timed_out";
+    case AttemptFailure::Protocol:
+        return "protocol";
+    case AttemptFailure::Preempted:
+        return "preempted";
+    case AttemptFailure::ServerLeaving:
+        break;
+    }
+    return "server_leaving";
+}
+
 } // namespace lagoonspoke
--- a/src/entry/RequestMachine.h
+++ b/src/entry/RequestMachine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -31,6 +32,8 @@
     ServerLeaving, // the grant was revoked
 };
 
+std::string_view toString(AttemptFailure);
+
 struct HeadRead { };
 struct Authenticated { };
 struct BodyRead {
--- a/tools/ctl/CommandTable.cpp
+++ b/tools/ctl/CommandTable.cpp
@@ -22,11 +22,16 @@
     { "key issue", "TEAM", 1, "Makes a new key for TEAM and shows it once. Only its digest is stored.", issueKey },
     { "key withdraw", "TEAM DIGEST", 2, "Withdraws the key of TEAM with the given digest (64 hexadecimal digits).",
         withdrawKey },
+    { "explain", "ID", 1,
+        "Reads the logs of instances from standard input, several one after the other, and prints the lines about the\n"
+        "request ID in order of time, with what decided it. ID is the caller's or the request's own. Example:\n"
+        "  cat /var/log/lagoonspoke/*.log | lagoonspokectl explain 9c41d07be2a35f68",
+        explainRequest, false },
 };
 
 constexpr std::string_view common
     = "Flags:\n"
-      "  --store=IP:port   address of the object store; required\n"
+      "  --store=IP:port   address of the object store; required but for explain\n"
       "  --output=json     JSON instead of tables\n"
       "  --timeout-ms=N    bound of one store call, 5000 by default\n"
       "  --help            help of the verb\n"
@@ -49,8 +54,8 @@
 std::string formatHelp(const Verb* verb)
 {
     if (verb) {
-        return fmt::format("lagoonspokectl {}{}{} --store=IP:port\n\n{}\n\n{}", verb->name,
-            verb->argumentCount > 0 ? " " : "", verb->arguments, verb->help, common);
+        return fmt::format("lagoonspokectl {}{}{}{}\n\n{}\n\n{}", verb->name, verb->argumentCount > 0 ? " " : "",
+            verb->arguments, verb->usesStore ? " --store=IP:port" : " < LOGS", verb->help, common);
     }
     std::string text = "lagoonspokectl VERB: changes and shows the configuration.\n\nVerbs:\n";
     for (const auto& it : verbs) {
--- a/tools/ctl/CtlMain.cpp
+++ b/tools/ctl/CtlMain.cpp
@@ -60,6 +60,9 @@
         return fail("--timeout-ms: must be a positive whole number");
     }
     auto endpoint = parseEndpoint(absl::GetFlag(FLAGS_store));
+    if (!verb.usesStore) {
+        endpoint = tcp::endpoint();
+    }
     if (!endpoint) {
         return fail("--store: " + endpoint.error().message);
     }
--- a/tools/ctl/Verbs.h
+++ b/tools/ctl/Verbs.h
@@ -31,6 +31,7 @@
     std::size_t argumentCount;
     std::string_view help;
     asio::awaitable<VerbResult> (*run)(ObjectStoreClient, std::vector<std::string> arguments, OutputFormat);
+    bool usesStore = true;
 };
 
 asio::awaitable<VerbResult> submitTicketFile(ObjectStoreClient, std::vector<std::string>, OutputFormat);
@@ -40,6 +41,8 @@
 asio::awaitable<VerbResult> showStatus(ObjectStoreClient, std::vector<std::string>, OutputFormat);
 asio::awaitable<VerbResult> issueKey(ObjectStoreClient, std::vector<std::string>, OutputFormat);
 asio::awaitable<VerbResult> withdrawKey(ObjectStoreClient, std::vector<std::string>, OutputFormat);
+// Reads logs from standard input.
+asio::awaitable<VerbResult> explainRequest(ObjectStoreClient, std::vector<std::string>, OutputFormat);
 
 // The result of a store call that failed.
 VerbResult makeFailure(const Error&);
