Count requests whose server answers with an error or loses the answer, and seal complete windows early

Window 21 to 26 s was late: its seal waited 5 s for records that had been there for 4.7 s, and the store went down just then.

Change: a request counts as begun at the head of an error of a server that ran it, and when its connection breaks after the server had 10 ms for it. The sealer knows the members and seals a window once each of them has recorded it, 1.5 s after its end at the earliest; what is missing still waits for the grace time. After a death the copy holders get 1.5 s to record.

Measured: the entry's test failed first (0 of 1 counted); UsageSealerTest replays the outage, a slow record, a death and an idle instance.

--- a/src/daemon/ExternalInterfaces.cpp
+++ b/src/daemon/ExternalInterfaces.cpp
@@ -1,5 +1,7 @@
 #include "daemon/ExternalInterfaces.h"
 
+#include "core/ProcessName.h"
+
 #include <fmt/format.h>
 
 #include "external/ObjectStoreClient.h"
@@ -25,10 +27,10 @@
 
 } // namespace
 
-// An instance id has no '~'.
 std::string makeProcessName(const DaemonSettings& settings)
 {
-    return fmt::format("{}~{:x}", settings.instance.value(), readMonotonicClock().time_since_epoch().count());
+    return fmt::format(
+        "{}{}{:x}", settings.instance.value(), processSeparator, readMonotonicClock().time_since_epoch().count());
 }
 
 Outcome<ExternalInterfaces> makeOwnInterfaces(const DaemonSettings& settings)
--- a/src/daemon/UsageService.cpp
+++ b/src/daemon/UsageService.cpp
@@ -193,6 +193,11 @@
             drive(InstanceDied { id });
         }
     }
+    std::set<InstanceId> writers { m_options.instance };
+    for (const auto& [id, incarnation] : m_incarnations) {
+        writers.insert(id);
+    }
+    execute(m_sealer.handle(UsageWritersKnown { std::move(writers) }, readMonotonicClock()));
     CopyHolderCandidate self { m_options.instance, m_options.dataCentre, m_options.region };
     drive(CopyHoldersChanged { chooseCopyHolders(self, live) });
 }
@@ -314,11 +319,16 @@
         co_return UsageAnswer { call.call, UsageAnswer::Status::Done, {}, {} };
     }
     auto outcome = co_await m_reporter->report(call.report);
-    if (!outcome) {
-        LogLine(LogLevel::Warning, "usage_report_failed")
-            .add("report", call.report.id)
-            .add("error", outcome.error().message);
+    std::int64_t requests = 0;
+    for (const auto& [team, figures] : call.report.teams) {
+        requests += figures.requests;
     }
+    LogLine(outcome ? LogLevel::Info : LogLevel::Warning, outcome ? "usage_reported" : "usage_report_failed")
+        .add("report", call.report.id)
+        .add("token", static_cast<std::uint64_t>(call.report.token))
+        .add("teams", call.report.teams.size())
+        .add("requests", requests)
+        .add("error", outcome ? "" : outcome.error().message);
     co_return makeAnswer(call.call, outcome);
 }
 
--- a/src/entry/CallerServiceFixture.h
+++ b/src/entry/CallerServiceFixture.h
@@ -47,7 +47,10 @@
 struct Close { };
 // Waits until the other side closes.
 struct Hold { };
-using Step = std::variant<Send, Close, Hold>;
+struct Work {
+    Duration lasts;
+};
+using Step = std::variant<Send, Close, Hold, Work>;
 
 // Answers the n-th request that it receives with the n-th script; without a script it closes the connection.
 class ScriptedBackend {
@@ -112,6 +115,9 @@
                 co_await asio::async_write(socket, asio::buffer(send->text), useTuple);
             } else if (std::holds_alternative<Close>(step)) {
                 co_return false;
+            } else if (auto* work = std::get_if<Work>(&step)) {
+                asio::steady_timer timer(m_acceptor.get_executor(), work->lasts);
+                co_await timer.async_wait(useTuple);
             } else {
                 char byte = 0;
                 co_await socket.async_read_some(asio::buffer(&byte, 1), useTuple);
--- a/src/entry/CallerServiceTest.cpp
+++ b/src/entry/CallerServiceTest.cpp
@@ -234,4 +234,37 @@
     REQUIRE(records[1].outputTokens == Tokens { 1 });
 }
 
+// Guards against usage that lacks every request that a failing server ran: with two requests in five answered by an
+// error, a window's report was off by a tenth.
+TEST_CASE("where usage counts begun requests, errors and lost answers of a server that ran them count once")
+{
+    Fixture f([](DaemonSettings& it) { it.countsUsageAtStart = true; });
+    int counted = 0;
+    f.service->setUsageSink([&](UsageRecord) -> asio::awaitable<void> {
+        ++counted;
+        co_return;
+    });
+    constexpr auto error = "HTTP/1.1 500 Internal Server Error\r\nx-request-id: ID\r\ncontent-length: 0\r\n\r\n";
+    constexpr auto once = "x-idempotent: false\r\n";
+    auto work = Work { std::chrono::milliseconds(30) };
+    f.run([&]() -> asio::awaitable<void> {
+        f.first.add({ Send { error } });
+        co_await f.ask(completion(once, plainBody));
+        REQUIRE(counted == 1);
+        // The answer is lost after the server has worked on the request.
+        f.first.add({ work, Close {} });
+        co_await f.ask(completion(once, plainBody));
+        REQUIRE(counted == 2);
+        // A connection that breaks at once is that of a server that never read the request.
+        f.first.add({ Close {} });
+        co_await f.ask(completion(once, plainBody));
+        REQUIRE(counted == 2);
+        // Two runs of one request count once.
+        f.first.add({ work, Close {} });
+        f.second.add({ Send { wholeAnswer("{}") } });
+        co_await f.ask(completion("", plainBody));
+        REQUIRE(counted == 3);
+    });
+}
+
 } // namespace lagoonspoke::testing
--- a/src/entry/RequestConclusion.cpp
+++ b/src/entry/RequestConclusion.cpp
@@ -1,4 +1,6 @@
 // The end of a request: what is released, reported, billed, logged and sent last.
+#include <utility>
+
 #include <fmt/format.h>
 
 #include "entry/RequestRunner.h"
@@ -72,7 +74,8 @@
 
 void RequestRunner::countStart()
 {
-    if (m_services.settings.countsUsageAtStart && m_services.usageSink && m_request.team) {
+    if (!std::exchange(m_startCounted, true) && m_services.settings.countsUsageAtStart && m_services.usageSink
+        && m_request.team) {
         asio::co_spawn(m_exchange.socket().get_executor(), m_services.usageSink(makeUsage(false)), asio::detached);
     }
 }
@@ -129,6 +132,7 @@
     m_concluding = true;
     m_code = toString(action.code);
     m_run = action.run;
+    m_retryAfter = action.retryAfter;
     if (action.code == CallerError::KeyWithdrawn) {
         m_exchange.closeAfter();
     }
@@ -166,7 +170,8 @@
     } else {
         m_services.metrics.countUnknown(m_code);
     }
-    LogLine(LogLevel::Info, "request_finished")
+    // Under load the lines of failed requests are kept before those of others.
+    LogLine(completed ? LogLevel::Info : LogLevel::Warning, "request_finished")
         .add("request", m_id.value())
         .add("caller_id", m_request.callerId)
         .add("team", team().value())
@@ -177,6 +182,7 @@
         .add("code", m_code)
         .add("run", toString(m_run))
         .add("attempts", m_machine.attempts())
+        .add("retry_after_ms", toMilliseconds(m_retryAfter))
         .add("queue_ms", toMilliseconds(m_queueTime))
         .add("first_token_ms", m_firstToken ? toMilliseconds(*m_firstToken) : 0)
         .add("total_ms", toMilliseconds(total))
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+// A connection that breaks sooner after the request was sent is one that its server had closed already; a server that
+// began to work on the request breaks it later.
+constexpr Duration shortestRun = std::chrono::milliseconds(10);
+
 CallerHead copyHead(const HttpExchange& exchange)
 {
     const auto& request = exchange.request();
@@ -61,12 +65,30 @@
         if (!event) {
             break;
         }
-        actions = m_machine.handle(chooseEvent(std::move(*event)));
+        auto chosen = chooseEvent(std::move(*event));
+        if (const auto* failed = std::get_if<AttemptFailed>(&chosen)) {
+            logFailedAttempt(*failed);
+        }
+        actions = m_machine.handle(chosen);
     }
     m_watch.reset();
     conclude();
 }
 
+void RequestRunner::logFailedAttempt(const AttemptFailed& failed) const
+{
+    LogLine(LogLevel::Warning, "attempt_failed")
+        .add("request", m_id.value())
+        .add("caller_id", m_request.callerId)
+        .add("attempt", m_machine.attempts())
+        .add("server", m_server.value())
+        .add("cause", toString(failed.cause))
+        .add("may_have_run", m_machine.runStatus() != RunStatus::NotRun)
+        .add("answer_began", m_machine.callerReached())
+        .add("attempt_ms", toMilliseconds(readMonotonicClock() - m_attemptStart))
+        .add("remaining_ms", toMilliseconds(remaining()));
+}
+
 RequestRunner::Next RequestRunner::perform(RequestAction action)
 {
     auto nothing = []() -> Next { co_return std::nullopt; };
@@ -337,6 +359,7 @@
         co_return AttemptFailed { failureOf(ec), written > 0 };
     }
     m_firstByteReported = false;
+    m_sent = readMonotonicClock();
     m_services.placement.report(makeProgress());
     co_return RequestSent {};
 }
@@ -361,7 +384,11 @@
         auto ec = co_await m_connection->readHead(m_exchange.isHead(), m_services.settings.firstByteTimeout);
         m_wait = Wait::Nothing;
         if (ec) {
-            co_return AttemptFailed { failureOf(ec) };
+            auto cause = failureOf(ec);
+            if (cause == AttemptFailure::Broken && readMonotonicClock() - m_sent >= shortestRun) {
+                countStart();
+            }
+            co_return AttemptFailed { cause };
         }
         auto answer = m_services.dialect.readAnswer(m_connection->head());
         if (!answer.requestId.empty() && answer.requestId != backendId() && m_connection->reused()) {
@@ -383,6 +410,10 @@
         if (!isExpectedAnswer(answer)) {
             co_return AttemptFailed { AttemptFailure::Protocol };
         }
+        if (status >= 400) {
+            // An error may have no body that shows the beginning of the run.
+            countStart();
+        }
         m_relay.setHeaders(std::move(answer.headers));
         co_return AnswerStarted { status };
     }
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -75,6 +75,7 @@
 
     asio::awaitable<void> respondModels();
     void releaseGrant(FinishOutcome);
+    void logFailedAttempt(const AttemptFailed&) const;
     RequestEvent chooseEvent(RequestEvent);
     void interrupt(RequestEvent);
     void startDeadline();
@@ -85,7 +86,7 @@
     PlaceRequest makePlaceRequest(const AskForGrant&) const;
     Duration remaining() const;
     Progress makeProgress() const;
-    // Counts the request as begun, where usage goes by that.
+    // Counts the request as begun, once, where usage goes by that.
     void countStart();
     UsageRecord makeUsage(bool completed) const;
     asio::awaitable<void> recordUsage();
@@ -115,14 +116,17 @@
     // What the log and the metrics tell.
     MonotonicTime m_arrival;
     MonotonicTime m_attemptStart;
+    MonotonicTime m_sent; // the whole request, in this attempt
     MonotonicTime m_lastToken;
     MonotonicTime m_lastReport;
     Duration m_queueTime {};
     std::optional<Duration> m_firstToken;
     bool m_firstByteReported = false;
+    bool m_startCounted = false;
     BackendServerId m_server;
     std::string_view m_code = "ok";
     RunStatus m_run = RunStatus::Ran;
+    Duration m_retryAfter {};
 };
 
 } // namespace lagoonspoke
--- a/src/usage/UsageSealer.cpp
+++ b/src/usage/UsageSealer.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "core/ProcessName.h"
 #include "lagoonspoke/core/Overload.h"
 #include "lagoonspoke/core/Text.h"
 #include "usage/UsageSeal.h"
@@ -33,6 +34,7 @@
     std::visit(Overload {
                    [&](const UsageLeaseChanged& it) { changeLease(it.token); },
                    [&](const UsageClockRead& it) { m_clock = it; },
+                   [&](const UsageWritersKnown& it) { setWriters(it.instances); },
                    [&](const UsageAnswer& it) { handleAnswer(it); },
                },
         event);
@@ -81,6 +83,31 @@
     return ended && (isLate || m_now >= m_sealNotBefore);
 }
 
+bool UsageSealer::isLookDue() const
+{
+    auto next = m_last.window + 1;
+    bool ended
+        = m_clock->window > next + 1 || (m_clock->window == next + 1 && m_clock->elapsed >= m_options.earliestLook);
+    return ended && m_now >= m_lookNotBefore && !m_instances.empty();
+}
+
+void UsageSealer::setWriters(const std::set<InstanceId>& instances)
+{
+    if (!std::ranges::includes(instances, m_instances)) {
+        m_lookNotBefore = std::max(m_lookNotBefore, m_now + m_options.earliestLook);
+    }
+    m_instances = instances;
+}
+
+bool UsageSealer::areRecordsComplete() const
+{
+    std::set<InstanceId> recorded;
+    for (const auto& record : m_records) {
+        recorded.insert(instanceOfProcess(record.writer));
+    }
+    return std::ranges::includes(recorded, m_instances);
+}
+
 bool UsageSealer::isRemovalDue() const
 {
     return m_oldest + m_options.retention < m_last.window && !m_unreported.contains(m_oldest);
@@ -97,7 +124,9 @@
     if (!m_scanned) {
         call(Step::Scanning, ListUsageKeys { 0, "usage/" });
     } else if (isSealDue()) {
-        startSealing();
+        startSealing(false);
+    } else if (isLookDue()) {
+        startSealing(true);
     } else if (!m_unreported.empty() && m_now >= m_reportRetryAt) {
         startReporting();
     } else if (isRemovalDue()) {
@@ -217,8 +246,9 @@
     m_step = Step::Ready;
 }
 
-void UsageSealer::startSealing()
+void UsageSealer::startSealing(bool whenComplete)
 {
+    m_sealsWhenComplete = whenComplete;
     m_records.clear();
     m_entries.clear();
     call(Step::ListingRecords, ListUsageKeys { 0, fmt::format("usage/{}/", m_last.window + 1) });
@@ -241,6 +271,11 @@
         takeRecord(*m_entries.front().value);
         m_entries.pop_front();
     }
+    if (m_entries.empty() && m_sealsWhenComplete && !areRecordsComplete()) {
+        m_lookNotBefore = m_now + m_options.lookInterval;
+        m_step = Step::Ready;
+        return;
+    }
     if (m_entries.empty()) {
         createSeal();
         return;
--- a/src/usage/UsageSealer.h
+++ b/src/usage/UsageSealer.h
@@ -17,7 +17,12 @@
     Duration elapsed {};
 };
 
-using UsageSealerEvent = std::variant<UsageLeaseChanged, UsageClockRead, UsageAnswer>;
+// The instances that count usage and are not known to be dead.
+struct UsageWritersKnown {
+    std::set<InstanceId> instances;
+};
+
+using UsageSealerEvent = std::variant<UsageLeaseChanged, UsageClockRead, UsageWritersKnown, UsageAnswer>;
 using UsageSealerAction
     = std::variant<ListUsageKeys, ReadUsageObject, CreateUsageObject, RemoveUsageObject, SendUsageReport>;
 
@@ -30,6 +35,11 @@
         // Time after the end of a window, and after an outage, for the instances to write their records.
         Duration grace = std::chrono::seconds(5);
         Duration retryInterval = std::chrono::seconds(1);
+        // A window whose records are all there is sealed before the grace time has passed, so that an outage of the
+        // store between the two does not make its report late. Records are looked for this long after the end of the
+        // window, or after an instance died: by then those who hold its copies have recorded them.
+        Duration earliestLook = std::chrono::milliseconds(1500);
+        Duration lookInterval = std::chrono::seconds(1);
         Duration window {}; // length of a window; zero when nothing depends on it
         // Time after the end of a window at which it is sealed in any case, so that its report is not late.
         Duration latest = std::chrono::hours(1);
@@ -73,10 +83,14 @@
     template <typename Call> void call(Step, Call);
     void changeLease(const std::optional<FencingToken>&);
     void startNext();
-    void startSealing();
+    void startSealing(bool whenComplete);
+    void setWriters(const std::set<InstanceId>&);
     void startReporting();
     void startRemoving();
     bool isSealDue() const;
+    bool isLookDue() const;
+    // Whether every instance that counts usage has recorded the window.
+    bool areRecordsComplete() const;
     bool isRemovalDue() const;
     bool isIdle() const { return m_step == Step::Idle || m_step == Step::Ready; }
 
@@ -110,6 +124,9 @@
     MonotonicTime m_retryAt;
     MonotonicTime m_reportRetryAt;
     MonotonicTime m_sealNotBefore;
+    MonotonicTime m_lookNotBefore;
+    bool m_sealsWhenComplete = false; // the records being read
+    std::set<InstanceId> m_instances;
 
     bool m_scanned = false;
     SealedWindow m_last; // the newest seal known
--- /dev/null
+++ b/src/usage/UsageSealerTest.cpp
@@ -0,0 +1,178 @@
+#include "usage/UsageSealer.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include "lagoonspoke/core/Overload.h"
+
+namespace lagoonspoke {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration windowLength = 5s;
+constexpr WindowNumber firstWindow = 100;
+
+// One sealer with a store that answers at once, unless it is down.
+class SealerBed {
+public:
+    SealerBed()
+        : m_sealer(UsageSealer::Make(makeOptions()))
+    {
+        execute(m_sealer.handle(UsageClockRead { firstWindow, {} }, now()));
+        execute(m_sealer.handle(UsageLeaseChanged { FencingToken(1) }, now()));
+    }
+
+    void know(std::set<InstanceId> instances)
+    {
+        execute(m_sealer.handle(UsageWritersKnown { std::move(instances) }, now()));
+    }
+    // The record of a process of the instance on the window.
+    void record(const std::string& instance, WindowNumber window, std::int64_t requests = 10)
+    {
+        InstanceId writer(instance + "~1");
+        UsageFact fact;
+        fact.window = window;
+        fact.sequence = static_cast<std::uint64_t>(requests);
+        fact.teams[TeamId(instance)] = { requests, 0, 0 };
+        m_objects[usageRecordKey(window, writer)] = encodeUsageRecord({ writer, 0, { fact } });
+    }
+    void runUntil(Duration end)
+    {
+        for (; m_elapsed < end; m_elapsed += 100ms) {
+            auto window = firstWindow + m_elapsed / windowLength;
+            execute(m_sealer.handle(UsageClockRead { window, m_elapsed % windowLength }, now()));
+        }
+    }
+
+    bool isSealed(WindowNumber window) const { return m_objects.contains(sealedWindowKey(window)); }
+    bool isReported(WindowNumber window) const { return reported.contains(window); }
+
+    bool down = false;
+    std::map<WindowNumber, std::int64_t> reported; // requests
+
+private:
+    static UsageSealer::Options makeOptions()
+    {
+        UsageSealer::Options options;
+        options.grace = 5s;
+        options.window = windowLength;
+        options.latest = 7500ms;
+        options.reportsWholeWindows = true;
+        return options;
+    }
+
+    MonotonicTime now() const { return MonotonicTime(std::chrono::hours(1) + m_elapsed); }
+
+    UsageAnswer answer(const ListUsageKeys& it)
+    {
+        UsageAnswer answer { it.call, UsageAnswer::Status::Done, {}, {} };
+        for (const auto& [key, value] : m_objects) {
+            if (key.starts_with(it.prefix)) {
+                answer.entries.push_back({ key, 1 });
+            }
+        }
+        return answer;
+    }
+    UsageAnswer answer(const ReadUsageObject& it)
+    {
+        auto object = m_objects.find(it.key);
+        bool found = object != m_objects.end();
+        return { it.call, found ? UsageAnswer::Status::Done : UsageAnswer::Status::Missing,
+            found ? object->second : std::string(), {} };
+    }
+    UsageAnswer answer(const CreateUsageObject& it)
+    {
+        bool created = m_objects.emplace(it.key, it.value).second;
+        return { it.call, created ? UsageAnswer::Status::Done : UsageAnswer::Status::Refused, {}, {} };
+    }
+    UsageAnswer answer(const RemoveUsageObject& it) { return { it.call, UsageAnswer::Status::Done, {}, {} }; }
+    UsageAnswer answer(const SendUsageReport& it)
+    {
+        for (const auto& [team, figures] : it.report.teams) {
+            reported[it.report.window] += figures.requests;
+        }
+        return { it.call, UsageAnswer::Status::Done, {}, {} };
+    }
+
+    void execute(std::vector<UsageSealerAction> actions)
+    {
+        for (auto& action : actions) {
+            auto reply = std::visit([&](const auto& it) { return answer(it); }, action);
+            if (down) {
+                reply = { reply.call, UsageAnswer::Status::Failed, {}, {} };
+            }
+            execute(m_sealer.handle(reply, now()));
+        }
+    }
+
+    UsageSealer m_sealer;
+    Duration m_elapsed {};
+    std::map<std::string, std::string> m_objects;
+};
+
+const InstanceId a("a");
+const InstanceId b("b");
+
+} // namespace
+
+// Guards against a report that is late because the store was down at the end of the grace time, though all records had
+// been there before.
+TEST_CASE("A window whose records are complete is sealed before the grace time has passed")
+{
+    SealerBed bed;
+    bed.know({ a, b });
+    bed.runUntil(5300ms);
+    bed.record("a", firstWindow);
+    bed.record("b", firstWindow);
+    bed.runUntil(8s);
+    CHECK(bed.isSealed(firstWindow));
+    bed.down = true;
+    bed.runUntil(16s);
+    CHECK(bed.reported[firstWindow] == 20);
+}
+
+// Guards against a seal without the record of an instance that is slow to write it.
+TEST_CASE("A window without the record of a live instance is sealed after the grace time")
+{
+    SealerBed bed;
+    bed.know({ a, b });
+    bed.runUntil(5300ms);
+    bed.record("a", firstWindow);
+    bed.runUntil(9s);
+    REQUIRE_FALSE(bed.isSealed(firstWindow));
+    bed.record("b", firstWindow);
+    bed.runUntil(10100ms);
+    REQUIRE(bed.isSealed(firstWindow));
+    CHECK(bed.reported[firstWindow] == 20);
+}
+
+// Guards against a seal between the death of an instance and the record that a holder of its copies writes.
+TEST_CASE("After the death of an instance its copy holders have time to record its usage")
+{
+    SealerBed bed;
+    bed.know({ a, b });
+    bed.runUntil(5300ms);
+    bed.record("a", firstWindow);
+    bed.runUntil(7800ms);
+    bed.know({ a });
+    bed.runUntil(8800ms);
+    REQUIRE_FALSE(bed.isSealed(firstWindow));
+    bed.record("b", firstWindow);
+    bed.runUntil(11s);
+    CHECK(bed.reported[firstWindow] == 20);
+}
+
+// Guards against a sealer that waits for ever for an instance that never counts anything.
+TEST_CASE("A window with no record at all is sealed after the grace time")
+{
+    SealerBed bed;
+    bed.know({ a, b });
+    bed.runUntil(9900ms);
+    REQUIRE_FALSE(bed.isSealed(firstWindow));
+    bed.runUntil(10100ms);
+    REQUIRE(bed.isSealed(firstWindow));
+}
+
+} // namespace lagoonspoke
