Keep late usage out of the next window's record, and let windows that are late wait for their records

Change: carried facts have a record of their own, which is written at once; the rule of patience goes. A window that is late already waits for its records until the next one would be late.

--- a/src/daemon/StoreServices.cpp
+++ b/src/daemon/StoreServices.cpp
@@ -18,6 +18,7 @@
     options.region = settings.region;
     options.window = settings.usageWindow;
     options.sealGrace = settings.usageReportBound / 2;
+    options.reportDue = settings.usageReportBound;
     // The rest is for the report and its repeats.
     options.sealLatest = settings.usageReportBound * 3 / 4;
     return options;
--- a/src/daemon/UsageService.cpp
+++ b/src/daemon/UsageService.cpp
@@ -34,6 +34,7 @@
     options.grace = std::min(service.sealGrace, service.window);
     options.window = service.window;
     options.latest = service.sealLatest;
+    options.due = service.reportDue;
     options.reportsWholeWindows = reporter && reporter->takesWholeWindows();
     return UsageSealer::Make(options);
 }
--- a/src/daemon/UsageService.h
+++ b/src/daemon/UsageService.h
@@ -29,6 +29,8 @@
         Duration sealGrace = std::chrono::seconds(5);
         // The same at most, after an outage or a change of the holder.
         Duration sealLatest = std::chrono::hours(1);
+        // Time after the end of a window at which its report is late.
+        Duration reportDue = std::chrono::hours(1);
     };
     using SendToPeer = std::function<void(const InstanceId&, std::string payload)>;
     using MayAct = std::function<std::optional<FencingToken>()>;
--- a/src/usage/UsageLedger.cpp
+++ b/src/usage/UsageLedger.cpp
@@ -226,8 +226,7 @@
             next->record.completeBelow = m_counter.completeBelow();
         }
         m_createCall = ++m_lastCall;
-        m_actions.emplace_back(CreateUsageObject {
-            m_createCall, usageRecordKey(next->key, next->record.writer), encodeUsageRecord(next->record) });
+        m_actions.emplace_back(CreateUsageObject { m_createCall, next->objectKey(), encodeUsageRecord(next->record) });
         m_creating = std::move(next);
     }
     if (auto window = m_publisher.awaitedSeal(); window && !m_readingSeal && m_nextSealRead <= m_now) {
@@ -267,8 +266,7 @@
         return;
     case UsageAnswer::Status::Refused:
         m_createCall = ++m_lastCall;
-        m_actions.emplace_back(
-            ReadUsageObject { m_createCall, usageRecordKey(m_creating->key, m_creating->record.writer) });
+        m_actions.emplace_back(ReadUsageObject { m_createCall, m_creating->objectKey() });
         return;
     case UsageAnswer::Status::Missing:
     case UsageAnswer::Status::Failed:
--- a/src/usage/UsageLedgerTest.cpp
+++ b/src/usage/UsageLedgerTest.cpp
@@ -198,4 +198,29 @@
     CHECK(isTakenOver(stored) == false);
 }
 
+// Guards against windows that lack an instance's usage one after the other: a late fact had taken the key of the next
+// window's record, whose own facts then went into the window after it.
+TEST_CASE("A fact that missed its seals leaves the next window's record to that window's facts")
+{
+    const InstanceId a("a~1");
+    auto makeFact = [](WindowNumber window, std::uint64_t sequence) {
+        return UsageFact { window, sequence, true, { { TeamId("t"), { 1, 0, 0 } } } };
+    };
+    UsagePublisher publisher;
+    publisher.add(a, makeFact(7, 1));
+    publisher.handleStored(*publisher.nextRecord(8));
+    publisher.handleSeal({ 7, {}, {} });
+    publisher.handleStored(*publisher.nextRecord(9));
+    publisher.handleSeal({ 8, {}, {} });
+    auto carried = publisher.nextRecord(9); // window 9 is open
+    REQUIRE(carried);
+    publisher.handleStored(*carried);
+    publisher.add(a, makeFact(9, 2));
+    auto own = publisher.nextRecord(10);
+    REQUIRE(own);
+    CHECK(own->key == 9);
+    CHECK(own->record.facts == std::vector { makeFact(9, 2) });
+    CHECK(own->objectKey() != carried->objectKey());
+}
+
 } // namespace lagoonspoke
--- a/src/usage/UsageObjects.cpp
+++ b/src/usage/UsageObjects.cpp
@@ -170,6 +170,11 @@
     return fmt::format("usage/{}/{}", window, writer.value());
 }
 
+std::string usageCarriedKey(WindowNumber window, const InstanceId& writer)
+{
+    return usageRecordKey(window, writer) + "~carried";
+}
+
 std::string sealedWindowKey(WindowNumber window)
 {
     return fmt::format("usage/{}/sealed", window);
--- a/src/usage/UsageObjects.h
+++ b/src/usage/UsageObjects.h
@@ -45,6 +45,9 @@
 Outcome<SealedWindow> decodeSealedWindow(std::string_view);
 
 std::string usageRecordKey(WindowNumber, const InstanceId& writer);
+// The record of facts on earlier windows that missed their seal. It has a key of its own, as the record on the window
+// itself comes later.
+std::string usageCarriedKey(WindowNumber, const InstanceId& writer);
 std::string sealedWindowKey(WindowNumber);
 std::string reportedWindowKey(WindowNumber);
 
--- a/src/usage/UsagePublisher.cpp
+++ b/src/usage/UsagePublisher.cpp
@@ -6,13 +6,18 @@
 
 namespace lagoonspoke {
 
+std::string UsagePublisher::Record::objectKey() const
+{
+    return carried ? usageCarriedKey(key, record.writer) : usageRecordKey(key, record.writer);
+}
+
 void UsagePublisher::add(const InstanceId& writer, const UsageFact& fact)
 {
     auto [it, added] = m_entries.try_emplace({ writer, fact.window });
     auto& entry = it->second;
     if (added) {
         bool late = fact.window <= m_lastSeal;
-        entry = { fact, late ? m_lastSeal + 1 : fact.window, false, late ? 1 : 0 };
+        entry = { fact, late ? m_lastSeal + 1 : fact.window, false };
     } else if (fact.sequence > entry.fact.sequence) {
         entry.fact = fact;
         entry.key += entry.stored ? 1 : 0;
@@ -25,10 +30,12 @@
     const InstanceId* writer = nullptr;
     Record next;
     for (const auto& [id, entry] : m_entries) {
-        bool due = entry.key < before || entry.missedSeals >= patientSeals;
+        // A window's own facts are complete when it has ended here.
+        bool due = entry.isCarried() || entry.key < before;
         if (!entry.stored && due && (writer == nullptr || entry.key < next.key)) {
             writer = &id.first;
             next.key = entry.key;
+            next.carried = entry.isCarried();
         }
     }
     if (writer == nullptr) {
@@ -36,7 +43,7 @@
     }
     next.record.writer = *writer;
     for (const auto& [id, entry] : m_entries) {
-        if (id.first == *writer && !entry.stored && entry.key == next.key) {
+        if (id.first == *writer && !entry.stored && entry.key == next.key && entry.isCarried() == next.carried) {
             next.record.facts.push_back(entry.fact);
         }
     }
@@ -52,7 +59,8 @@
 {
     for (const auto& fact : attempted.record.facts) {
         auto it = m_entries.find({ attempted.record.writer, fact.window });
-        if (it == m_entries.end() || it->second.stored || it->second.key != attempted.key) {
+        if (it == m_entries.end() || it->second.stored || it->second.key != attempted.key
+            || it->second.isCarried() != attempted.carried) {
             continue;
         }
         auto& entry = it->second;
@@ -71,7 +79,6 @@
         if (entry.key <= sealed.window) {
             entry.key = sealed.window + 1;
             entry.stored = false;
-            ++entry.missedSeals;
         }
     }
 }
--- a/src/usage/UsagePublisher.h
+++ b/src/usage/UsagePublisher.h
@@ -12,12 +12,16 @@
 public:
     struct Record {
         WindowNumber key = 0;
+        bool carried = false; // facts on windows before the key
         UsageWindowRecord record;
+
+        // Under which it is stored.
+        std::string objectKey() const;
     };
 
     // Adds a fact, or replaces one on the same window that contains less.
     void add(const InstanceId& writer, const UsageFact&);
-    // The next record to create. Its window is before the given one, unless its facts have missed two seals.
+    // The next record to create: of facts on a window before the given one, or of facts that missed their seal.
     std::optional<Record> nextRecord(WindowNumber before) const;
     // The record is stored under its key, by this process or with the same content by another.
     void handleStored(const Record&);
@@ -34,14 +38,9 @@
         UsageFact fact;
         WindowNumber key = 0; // window of the record that the fact is, or goes, in
         bool stored = false;
-        int missedSeals = 0;
+        bool isCarried() const { return fact.window < key; }
     };
 
-    // A record for a later window waits until that window has ended here, to take this window's facts along. Where
-    // the sealer's clock is ahead by more than its grace time, each of these would be late, so a fact that has missed
-    // this many seals waits no more.
-    static constexpr int patientSeals = 2;
-
     std::map<std::pair<InstanceId, WindowNumber>, Entry> m_entries;
     WindowNumber m_lastSeal = -1;
 };
--- a/src/usage/UsageSealer.cpp
+++ b/src/usage/UsageSealer.cpp
@@ -78,9 +78,17 @@
 {
     auto next = m_last.window + 1;
     bool ended = m_clock->window > next + 1 || (m_clock->window == next + 1 && m_clock->elapsed >= m_options.grace);
-    bool isLate = m_options.window > Duration(0)
-        && m_clock->elapsed + (m_clock->window - next - 1) * m_options.window >= m_options.latest;
-    return ended && (isLate || m_now >= m_sealNotBefore);
+    auto sinceEnd = m_clock->elapsed + (m_clock->window - next - 1) * m_options.window;
+    return ended && (isUrgent(sinceEnd) || m_now >= m_sealNotBefore);
+}
+
+bool UsageSealer::isUrgent(Duration sinceEnd) const
+{
+    if (m_options.window == Duration(0)) {
+        return false;
+    }
+    bool isLate = sinceEnd >= m_options.due;
+    return isLate ? sinceEnd - m_options.window >= m_options.latest : sinceEnd >= m_options.latest;
 }
 
 bool UsageSealer::isLookDue() const
@@ -102,8 +110,11 @@
 bool UsageSealer::areRecordsComplete() const
 {
     std::set<InstanceId> recorded;
+    auto ofWindow = [&](const UsageFact& it) { return it.window == m_last.window + 1; };
     for (const auto& record : m_records) {
-        recorded.insert(instanceOfProcess(record.writer));
+        if (std::ranges::any_of(record.facts, ofWindow)) {
+            recorded.insert(instanceOfProcess(record.writer));
+        }
     }
     return std::ranges::includes(recorded, m_instances);
 }
--- a/src/usage/UsageSealer.h
+++ b/src/usage/UsageSealer.h
@@ -43,6 +43,9 @@
         Duration window {}; // length of a window; zero when nothing depends on it
         // Time after the end of a window at which it is sealed in any case, so that its report is not late.
         Duration latest = std::chrono::hours(1);
+        // Time after the end of a window at which its report is late. A window that is late already waits for its
+        // records until the next one is sealed in any case.
+        Duration due = std::chrono::hours(1);
         // Reported windows whose objects stay in the object store. Only a sealer that was paused, between the check of
         // its lease and a write, for longer than this many windows could seal a deleted window a second time.
         WindowNumber retention = 120;
@@ -88,6 +91,8 @@
     void startReporting();
     void startRemoving();
     bool isSealDue() const;
+    // Whether the window must be sealed now, whatever records are missing, so that its report is not late.
+    bool isUrgent(Duration sinceEnd) const;
     bool isLookDue() const;
     // Whether every instance that counts usage has recorded the window.
     bool areRecordsComplete() const;
--- a/src/usage/UsageSealerTest.cpp
+++ b/src/usage/UsageSealerTest.cpp
@@ -59,6 +59,7 @@
         options.grace = 5s;
         options.window = windowLength;
         options.latest = 7500ms;
+        options.due = 10s;
         options.reportsWholeWindows = true;
         return options;
     }
@@ -90,8 +91,9 @@
     UsageAnswer answer(const RemoveUsageObject& it) { return { it.call, UsageAnswer::Status::Done, {}, {} }; }
     UsageAnswer answer(const SendUsageReport& it)
     {
+        auto& sum = reported[it.report.window];
         for (const auto& [team, figures] : it.report.teams) {
-            reported[it.report.window] += figures.requests;
+            sum += figures.requests;
         }
         return { it.call, UsageAnswer::Status::Done, {}, {} };
     }
@@ -175,4 +177,42 @@
     REQUIRE(bed.isSealed(firstWindow));
 }
 
+// Guards against a report without any figures: after an outage, a window that was late already was sealed before the
+// instances could write their records.
+TEST_CASE("A window that is late already waits for its records")
+{
+    SealerBed bed;
+    bed.know({ a, b });
+    bed.runUntil(5200ms);
+    bed.down = true;
+    bed.runUntil(16s);
+    bed.down = false;
+    bed.runUntil(17s);
+    REQUIRE_FALSE(bed.isSealed(firstWindow));
+    bed.record("a", firstWindow);
+    bed.record("b", firstWindow);
+    bed.record("a", firstWindow + 1);
+    bed.record("b", firstWindow + 1);
+    bed.runUntil(18500ms);
+    CHECK(bed.reported[firstWindow] == 20);
+    CHECK(bed.reported[firstWindow + 1] == 20);
+}
+
+// Guards against windows that are late one after the other because the first waits for a record that never comes.
+TEST_CASE("A window that is late already does not make the next one late")
+{
+    SealerBed bed;
+    bed.know({ a, b });
+    bed.runUntil(5200ms);
+    bed.down = true;
+    bed.runUntil(16s);
+    bed.down = false;
+    bed.record("a", firstWindow);
+    bed.runUntil(17400ms);
+    REQUIRE_FALSE(bed.isSealed(firstWindow));
+    bed.runUntil(20s);
+    CHECK(bed.reported[firstWindow] == 10);
+    CHECK(bed.isReported(firstWindow + 1));
+}
+
 } // namespace lagoonspoke
