Read seals where windows are short, and look for them at a lag that follows the clocks

With windows shorter than the pause between two reads of seals, each record put the next read off, so that no instance ever read one: late usage was not carried, and nothing that was sealed was dropped. On the users' platform a window of 5 s meets a pause of 5.5 s. Behind it stood two more: an instance whose clock was ahead asked only for seals that were not there yet or for one before the first, and a fact that had missed its seal was tried in the next window for ever where the sealer was ahead.

Change: a record only starts the pause when nothing awaited a seal. The read asks for the newest seal by a lag that doubles while that one is missing and shrinks with each that is found; one seal tells of all before it, so reads are four windows apart, 20 s at most. Each missed seal doubles the distance to the next try, up to eight windows.

--- a/src/daemon/UsageService.cpp
+++ b/src/daemon/UsageService.cpp
@@ -18,12 +18,16 @@
 
 // A seal is made once the grace time has passed; it is looked for this much later.
 constexpr Duration sealPollDelay = std::chrono::milliseconds(500);
+// Each read of a seal is billed, and one tells of all windows before it. Late usage waits that much longer.
+constexpr int windowsOfSealPoll = 4;
+constexpr Duration longestSealPoll = std::chrono::seconds(20);
 
 UsageLedger makeLedger(const UsageService::Options& service)
 {
     UsageLedger::Options options;
     options.writer = service.writer;
-    options.sealPollInterval = std::min(service.sealGrace, service.window) + sealPollDelay;
+    auto windows = std::min(windowsOfSealPoll * service.window, longestSealPoll);
+    options.sealPollInterval = std::max(std::min(service.sealGrace, service.window), windows) + sealPollDelay;
     return UsageLedger::Make(options);
 }
 
--- a/src/usage/UsageLedger.cpp
+++ b/src/usage/UsageLedger.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+// The window before the open one may not be sealed yet. Clocks that differ make the lag longer.
+constexpr WindowNumber shortestSealLag = 2;
+constexpr WindowNumber longestSealLag = 64;
+
 // A seal that is not there yet is looked for after this part of the poll interval.
 constexpr int earlyPollDivisor = 4;
 
@@ -22,6 +26,7 @@
 UsageLedger::UsageLedger(Options options)
     : m_options(std::move(options))
     , m_counter(m_options.writer)
+    , m_sealLag(shortestSealLag)
 {
 }
 
@@ -230,11 +235,10 @@
         m_creating = std::move(next);
     }
     if (auto window = m_publisher.awaitedSeal(); window && !m_readingSeal && m_nextSealRead <= m_now) {
-        // The awaited seal may have been deleted while this process was paused. Any later one serves as well.
-        auto newest = std::max(*window, m_counter.window() - 2);
-        m_readingNewest = m_pollNewest && newest > *window;
-        m_pollNewest = !m_pollNewest;
-        window = m_readingNewest ? newest : *window;
+        // Any seal after the awaited one serves as well; that one may be deleted, or before the first seal of all.
+        auto newest = m_counter.window() - m_sealLag;
+        m_readingNewest = newest > *window;
+        window = std::max(*window, newest);
         m_sealCall = ++m_lastCall;
         m_readingSeal = true;
         m_actions.emplace_back(ReadUsageObject { m_sealCall, sealedWindowKey(*window) });
@@ -252,6 +256,7 @@
 
 void UsageLedger::handleCreated(const UsageAnswer& answer)
 {
+    bool awaited = m_publisher.awaitedSeal().has_value();
     switch (answer.status) {
     case UsageAnswer::Status::Done:
         if (answer.value.empty()) {
@@ -262,7 +267,9 @@
         m_creating.reset();
         m_createRetry = {};
         setStoreRefuses(false);
-        m_nextSealRead = m_now + m_options.sealPollInterval;
+        if (!awaited) {
+            m_nextSealRead = m_now + m_options.sealPollInterval;
+        }
         return;
     case UsageAnswer::Status::Refused:
         m_createCall = ++m_lastCall;
@@ -301,11 +308,12 @@
     m_nextSealRead = m_now + m_options.sealPollInterval;
     if (answer.status != UsageAnswer::Status::Done) {
         if (m_readingNewest) {
-            // Polls in step with the windows would ask for it too early every time.
+            m_sealLag = std::min(2 * m_sealLag, longestSealLag);
             m_nextSealRead = m_now + m_options.sealPollInterval / earlyPollDivisor;
         }
         return;
     }
+    m_sealLag = std::max(m_sealLag - 1, shortestSealLag);
     auto sealed = decodeSealedWindow(answer.value);
     if (!sealed) {
         return;
@@ -314,7 +322,6 @@
     m_counter.dropIncluded(*sealed);
     m_copies.dropIncluded(*sealed);
     sendCopiesToAll();
-    m_nextSealRead = m_now;
 }
 
 } // namespace lagoonspoke
--- a/src/usage/UsageLedger.h
+++ b/src/usage/UsageLedger.h
@@ -55,6 +55,8 @@
         // Doubles with each failure in a row up to the longest one; calls that fail are billed as well.
         Duration storeRetryInterval = std::chrono::seconds(1);
         Duration longestStoreRetryInterval = std::chrono::seconds(3);
+        // From the first record that awaits a seal until one is read, and between two reads. One seal tells all that
+        // the seals before it contain.
         Duration sealPollInterval = std::chrono::seconds(2);
     };
 
@@ -127,8 +129,8 @@
     MonotonicTime m_nextCreate;
     Duration m_createRetry {}; // zero after a success
     bool m_readingSeal = false;
-    bool m_pollNewest = false;
     bool m_readingNewest = false; // in the read that runs
+    WindowNumber m_sealLag; // windows by which the newest seal is believed to be behind this process's window
     std::uint64_t m_sealCall = 0;
     MonotonicTime m_nextSealRead;
 };
--- a/src/usage/UsagePublisher.cpp
+++ b/src/usage/UsagePublisher.cpp
@@ -16,8 +16,10 @@
     auto [it, added] = m_entries.try_emplace({ writer, fact.window });
     auto& entry = it->second;
     if (added) {
-        bool late = fact.window <= m_lastSeal;
-        entry = { fact, late ? m_lastSeal + 1 : fact.window, false };
+        entry = { fact, fact.window };
+        if (fact.window <= m_lastSeal) {
+            carry(entry);
+        }
     } else if (fact.sequence > entry.fact.sequence) {
         entry.fact = fact;
         entry.key += entry.stored ? 1 : 0;
@@ -25,6 +27,13 @@
     }
 }
 
+void UsagePublisher::carry(Entry& entry) const
+{
+    entry.key = m_lastSeal + (1 << std::min(entry.missedSeals, mostDoublings));
+    entry.stored = false;
+    ++entry.missedSeals;
+}
+
 std::optional<UsagePublisher::Record> UsagePublisher::nextRecord(WindowNumber before) const
 {
     const InstanceId* writer = nullptr;
@@ -77,8 +86,7 @@
     std::erase_if(m_entries, [&](const auto& it) { return isIncluded(sealed, it.first.first, it.second.fact); });
     for (auto& [id, entry] : m_entries) {
         if (entry.key <= sealed.window) {
-            entry.key = sealed.window + 1;
-            entry.stored = false;
+            carry(entry);
         }
     }
 }
--- a/src/usage/UsagePublisher.h
+++ b/src/usage/UsagePublisher.h
@@ -38,9 +38,16 @@
         UsageFact fact;
         WindowNumber key = 0; // window of the record that the fact is, or goes, in
         bool stored = false;
+        int missedSeals = 0;
         bool isCarried() const { return fact.window < key; }
     };
 
+    // Where the sealer is ahead, the seal of the next window may be there before a record for it. Each miss doubles the
+    // distance, so that the record is in time at last.
+    static constexpr int mostDoublings = 3;
+
+    void carry(Entry&) const;
+
     std::map<std::pair<InstanceId, WindowNumber>, Entry> m_entries;
     WindowNumber m_lastSeal = -1;
 };
--- a/src/usage/UsageWorldTest.cpp
+++ b/src/usage/UsageWorldTest.cpp
@@ -16,24 +16,24 @@
 using namespace std::chrono_literals;
 
 constexpr Duration step = 100ms;
-constexpr Duration windowLength = 10s;
 
 // Several instances with wrong clocks that count, copy, die, are falsely believed dead and hand over, two sealers that
 // both believe they hold the lease, and a store with outages, delays and lost answers. Each process counts for a team
 // of its own, so that the sealed figures show which of its increments were billed.
 class UsageWorld {
 public:
-    explicit UsageWorld(std::uint32_t seed)
+    UsageWorld(std::uint32_t seed, Duration windowLength, Duration grace)
         : m_random(seed)
+        , m_windowLength(windowLength)
     {
         for (int i = 0; i < instanceCount; ++i) {
             startProcess();
         }
         for (int i = 0; i < 2; ++i) {
             UsageSealer::Options options;
-            options.grace = 3s;
+            options.grace = grace;
             options.retention = 1000;
-            m_sealers.push_back({ UsageSealer::Make(options), between(-6s, 6s) });
+            m_sealers.push_back({ UsageSealer::Make(options), inWindows(-6s, 6s) });
         }
         changeHolders();
     }
@@ -150,8 +150,10 @@
     {
         return Duration(std::uniform_int_distribution<std::int64_t>(least.count(), most.count())(m_random));
     }
+    // Errors of clocks and delays of calls that move usage by the same number of windows, whatever their length.
+    Duration inWindows(Duration least, Duration most) { return between(least, most) * (m_windowLength / 1s) / 10; }
     MonotonicTime now() const { return MonotonicTime(m_now); }
-    WindowNumber windowAt(Duration clockError) const { return (m_now + clockError + 1000s) / windowLength; }
+    WindowNumber windowAt(Duration clockError) const { return (m_now + clockError + 1000s) / m_windowLength; }
     void later(Duration delay, std::function<void()> run)
     {
         m_later.push({ m_now + delay, ++m_lastOrder, std::move(run) });
@@ -170,7 +172,7 @@
         InstanceId id("i" + std::to_string(++m_lastProcess));
         UsageLedger::Options options;
         options.writer = id;
-        Process process { UsageLedger::Make(options), between(-12s, 12s), {}, {}, {} };
+        Process process { UsageLedger::Make(options), inWindows(-12s, 12s), {}, {}, {} };
         process.ledger.handle(UsageWindowOpened { windowAt(process.clockError) }, now());
         m_processes.emplace(id, std::move(process));
         m_counted[TeamId(id.value())];
@@ -248,7 +250,7 @@
         if (fault(0.0005)) {
             process.pausedUntil = m_now + between(0s, 30s);
         } else if (fault(0.0005)) {
-            process.clockError += between(-10s, 10s);
+            process.clockError += inWindows(-10s, 10s);
         } else if (fault(0.0005) && process.leavingUntil == 0s && m_now > m_nextDeath) {
             m_nextDeath = m_now + 60s;
             process.leavingUntil = m_now + 5s;
@@ -302,12 +304,12 @@
     // Carries a call out after a delay and gives the answer after another, unless one of them is lost.
     template <typename Call> void call(Call request, std::function<void(UsageAnswer)> answer)
     {
-        later(isSlow() ? between(0s, 8s) : 0s, [this, request, answer] {
+        later(isSlow() ? inWindows(0s, 8s) : 0s, [this, request, answer] {
             auto result = apply(request);
             if (m_outageUntil > m_now || fault(0.05)) {
                 result = { request.call, UsageAnswer::Status::Failed, {}, {} };
             }
-            later(isSlow() ? between(0s, 3s) : 0s, [result, answer] { answer(result); });
+            later(isSlow() ? inWindows(0s, 3s) : 0s, [result, answer] { answer(result); });
         });
     }
 
@@ -358,7 +360,7 @@
             executeSealer(index, sealer.decider.handle(UsageLeaseChanged { FencingToken(++m_lastToken) }, now()));
         }
         auto local = m_now + sealer.clockError + 1000s;
-        UsageClockRead clock { windowAt(sealer.clockError), local % windowLength };
+        UsageClockRead clock { windowAt(sealer.clockError), local % m_windowLength };
         executeSealer(index, sealer.decider.handle(clock, now()));
     }
 
@@ -376,6 +378,7 @@
     }
 
     std::mt19937 m_random;
+    Duration m_windowLength;
     Duration m_now {};
     bool m_faults = false;
     double m_slowCalls = 0.05; // part of the calls that take seconds
@@ -405,7 +408,7 @@
     int carried = 0;
     for (std::uint32_t seed = 1; seed <= 20; ++seed) {
         INFO("seed " << seed);
-        UsageWorld world(seed);
+        UsageWorld world(seed, 10s, 3s);
         world.run(10min, true);
         world.settle();
         world.checkSums();
@@ -419,6 +422,22 @@
     CHECK(carried > 100);
 }
 
+// Guards against instances that never read a seal, as each record of a short window put the next read off, and against
+// late records that chase the seals of a sealer whose clock is ahead by several windows.
+TEST_CASE("Every increment is sealed exactly once where windows are shorter than the pauses between reads of seals")
+{
+    int carried = 0;
+    for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+        INFO("seed " << seed);
+        UsageWorld world(seed, 1s, 1s);
+        world.run(5min, true);
+        world.settle();
+        world.checkSums();
+        carried += world.carried;
+    }
+    CHECK(carried > 100);
+}
+
 // Guards against usage that is lost when a process leaves before its late record is sealed, and the peers with its
 // copies leave as well.
 TEST_CASE("Every increment is sealed once when all processes are replaced one after the other")
@@ -426,7 +445,7 @@
     int carried = 0;
     for (std::uint32_t seed = 1; seed <= 20; ++seed) {
         INFO("seed " << seed);
-        UsageWorld world(seed);
+        UsageWorld world(seed, 10s, 3s);
         world.run(30s, false);
         world.replaceAll();
         world.settle();
