--- a/standins/ServiceStandin.cpp
+++ b/standins/ServiceStandin.cpp
@@ -19,6 +19,10 @@
         co_await handleStats(exchange);
         co_return;
     }
+    if (target == "/effects") {
+        co_await handleEffects(exchange);
+        co_return;
+    }
     auto body = co_await exchange.readBody();
     if (!body) {
         co_return;
@@ -57,6 +61,15 @@
     co_await exchange.respond(http::status::ok, "application/json", "{}");
 }
 
+asio::awaitable<void> ServiceStandin::handleEffects(HttpExchange& exchange)
+{
+    json::object effects;
+    for (const auto& [target, count] : m_effects) {
+        effects[target] = count;
+    }
+    co_await exchange.respond(http::status::ok, "application/json", json::serialize(effects));
+}
+
 asio::awaitable<void> ServiceStandin::handleStats(HttpExchange& exchange)
 {
     int most = 0;
--- a/standins/ServiceStandin.h
+++ b/standins/ServiceStandin.h
@@ -9,7 +9,7 @@
 namespace lagoonspoke {
 
 // An application service whose every call other than GET has a side effect, counted by request target, so that a
-// repeated run is seen.   Any method and path   POST /faults   GET /stats
+// repeated run is seen.   Any method and path   POST /faults   GET /stats   GET /effects (count by target)
 // Owned by the stand-in program; runs on one io_context.
 class ServiceStandin {
 public:
@@ -23,6 +23,7 @@
 
     asio::awaitable<void> handleFaults(HttpExchange&);
     asio::awaitable<void> handleStats(HttpExchange&);
+    asio::awaitable<void> handleEffects(HttpExchange&);
 
     Faults m_faults;
     std::int64_t m_calls = 0;
--- a/tools/client/StreamingCall.cpp
+++ b/tools/client/StreamingCall.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <limits>
+#include <utility>
 
 #include <boost/json.hpp>
 
@@ -11,10 +12,11 @@
 
 namespace json = boost::json;
 
-StreamingCall::StreamingCall(tcp::endpoint endpoint, HttpCall call, Duration bound)
+StreamingCall::StreamingCall(tcp::endpoint endpoint, HttpCall call, Duration bound, KeptConnection* kept)
     : m_endpoint(std::move(endpoint))
     , m_call(std::move(call))
     , m_bound(bound)
+    , m_kept(kept)
 {
 }
 
@@ -37,11 +39,24 @@
 
 asio::awaitable<std::string> StreamingCall::exchange()
 {
-    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    if (m_kept) {
+        co_return co_await exchangeOn(*m_kept);
+    }
+    KeptConnection connection(co_await asio::this_coro::executor);
+    co_return co_await exchangeOn(connection);
+}
+
+asio::awaitable<std::string> StreamingCall::exchangeOn(KeptConnection& connection)
+{
+    auto& stream = connection.stream;
     m_stream = &stream;
     stream.expires_after(m_bound);
-    if (auto [ec] = co_await stream.async_connect(m_endpoint, useTuple); ec) {
-        co_return ec.message();
+    // Unless the whole answer arrives and says otherwise, nothing more can be sent.
+    if (!std::exchange(connection.open, false)) {
+        connection.buffer.clear();
+        if (auto [ec] = co_await stream.async_connect(m_endpoint, useTuple); ec) {
+            co_return ec.message();
+        }
     }
     http::request<http::string_body> request;
     request.method_string(m_call.method);
@@ -56,7 +71,12 @@
     if (auto [ec, n] = co_await http::async_write(stream, request, useTuple); ec) {
         co_return ec.message();
     }
-    beast::flat_buffer buffer;
+    co_return co_await readAnswer(connection);
+}
+
+asio::awaitable<std::string> StreamingCall::readAnswer(KeptConnection& connection)
+{
+    auto& [stream, buffer, open] = connection;
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     if (auto [ec, n] = co_await http::async_read_header(stream, buffer, parser, useTuple); ec) {
@@ -84,6 +104,7 @@
     if (!m_streamed) {
         readWhole();
     }
+    open = parser.keep_alive();
     co_return std::string();
 }
 
--- a/tools/client/StreamingCall.h
+++ b/tools/client/StreamingCall.h
@@ -27,10 +27,23 @@
     Duration gapSum {};
 };
 
-// One request as a caller makes it, on a connection of its own. Owned by whoever awaits run().
+// A connection that a caller keeps for one call after the other. Owned by that caller.
+struct KeptConnection {
+    explicit KeptConnection(const asio::any_io_executor& executor)
+        : stream(executor)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    bool open = false; // another call can be made on it
+};
+
+// One request as a caller makes it, on a connection of its own or on one that is kept, which must outlive the call.
+// Owned by whoever awaits run().
 class StreamingCall {
 public:
-    StreamingCall(tcp::endpoint, HttpCall, Duration bound);
+    StreamingCall(tcp::endpoint, HttpCall, Duration bound, KeptConnection* = nullptr);
 
     asio::awaitable<void> run();
     const CallResult& result() const { return m_result; }
@@ -39,6 +52,8 @@
 
 private:
     asio::awaitable<std::string> exchange();
+    asio::awaitable<std::string> exchangeOn(KeptConnection&);
+    asio::awaitable<std::string> readAnswer(KeptConnection&);
     void readEvents(std::string_view part);
     void readEvent(std::string_view data);
     void readWhole();
@@ -48,6 +63,7 @@
     tcp::endpoint m_endpoint;
     HttpCall m_call;
     Duration m_bound;
+    KeptConnection* m_kept;
     CallResult m_result;
     beast::tcp_stream* m_stream = nullptr;
     MonotonicTime m_start;
--- a/tools/scenario/Process.cpp
+++ b/tools/scenario/Process.cpp
@@ -31,7 +31,8 @@
     asio::io_context& io, std::string program, std::vector<std::string> arguments, const std::string& logFile)
     : m_state(std::make_shared<State>(io))
 {
-    m_state->log.open(logFile);
+    // A restarted program's lines follow those of the process before.
+    m_state->log.open(logFile, std::ios::app);
     m_state->child = process::child(process::exe = program, process::args = arguments,
         process::std_in<process::null, process::std_out> m_state->pipe);
     asio::co_spawn(io, readLines(m_state), asio::detached);
