--- a/src/entry/CallerServiceTest.cpp
+++ b/src/entry/CallerServiceTest.cpp
@@ -267,4 +267,27 @@
     });
 }
 
+// Guards against a request that outlives its caller, and so holds up a shutdown: the answer of another request came on
+// its connection, and its own never did.
+TEST_CASE("a caller that leaves after a late answer was skipped ends its request")
+{
+    Fixture f;
+    f.first.add({ Send { wholeAnswer("{}") } });
+    f.first.add({ Send { wholeAnswer(R"({"late":1})", "t-9") }, Hold {} });
+    f.run([&]() -> asio::awaitable<void> {
+        co_await f.ask(completion("", plainBody));
+        RawCaller caller(f.io);
+        co_await caller.connect(f.server->endpoint());
+        co_await caller.send(completion("", plainBody));
+        co_await f.until([&] { return f.first.requests.size() == 2; });
+        asio::steady_timer timer(f.io, std::chrono::milliseconds(50));
+        co_await timer.async_wait(useTuple);
+        caller.close();
+        auto start = readMonotonicClock();
+        co_await f.until([&] { return f.finished.size() == 2; });
+        REQUIRE(readMonotonicClock() - start < std::chrono::seconds(5));
+    });
+    REQUIRE(f.finished[1].outcome == FinishOutcome::CallerLeft);
+}
+
 } // namespace lagoonspoke::testing
