Start programs with close-on-exec descriptors instead of closing them

Change: the child marks all descriptors but its standard ones close-on-exec just before it starts the program.

--- a/tools/scenario/Process.cpp
+++ b/tools/scenario/Process.cpp
@@ -9,7 +9,8 @@
 #include <absl/strings/str_split.h>
 #include <boost/process.hpp>
 #include <boost/process/async_pipe.hpp>
-#include <boost/process/handles.hpp>
+
+#include "tools/scenario/InheritNothing.h"
 
 namespace lagoonspoke {
 
@@ -34,9 +35,8 @@
 {
     // A restarted program's lines follow those of the process before.
     m_state->log.open(logFile, std::ios::app);
-    // A program that inherited this one's sockets would keep them open after they are closed here.
     m_state->child = process::child(process::exe = program, process::args = arguments,
-        process::std_in<process::null, process::std_out> m_state->pipe, process::limit_handles);
+        process::std_in<process::null, process::std_out> m_state->pipe, inheritNothing());
     asio::co_spawn(io, readLines(m_state), asio::detached);
 }
 
--- a/tools/scenario/Testbed.cpp
+++ b/tools/scenario/Testbed.cpp
@@ -5,11 +5,11 @@
 #include <fstream>
 
 #include <boost/process.hpp>
-#include <boost/process/handles.hpp>
 #include <fmt/format.h>
 
 #include "http/Endpoint.h"
 #include "lagoonspoke/core/Text.h"
+#include "tools/scenario/InheritNothing.h"
 
 namespace lagoonspoke {
 
@@ -178,7 +178,7 @@
     }
     auto output = fmt::format("{}/output.txt", m_workDirectory);
     process::child child(process::exe = path, process::args = arguments,
-        process::std_in<process::null, (process::std_out & process::std_err)> output, process::limit_handles);
+        process::std_in<process::null, (process::std_out & process::std_err)> output, inheritNothing());
     asio::steady_timer timer(m_io);
     std::error_code ec;
     while (child.running(ec)) {
