Check the exit code of a soak daemon that is told to end twice, and wait for restarts in one place

Cause, from reading the change again: a second SIGTERM during a graceful shutdown marked the process as killed, so that its exit code was no longer checked; only a process that does not listen yet was meant. The wait for restarts stood twice.

Change: a daemon is known as starting until it listens, and only then its end by the signal is accepted. killAll() and stopAll() share awaitRestarts(), and observe() is no coroutine, as it waits for nothing. The check is stricter; no bound moved.

--- a/soak/SoakFaults.cpp
+++ b/soak/SoakFaults.cpp
@@ -86,7 +86,7 @@
     auto& state = m_daemons[static_cast<std::size_t>(fault.daemon)];
     state.terminated = true;
     // A process that has not started yet has nothing to shut down and ends by the signal.
-    state.killed = state.killed || state.restarting;
+    state.killed = state.killed || state.starting;
     m_testbed.sendSignal(nameOf(fault.daemon), SIGTERM);
     co_await m_testbed.registerDaemon(nameOf(fault.daemon), true);
     co_await restartDaemon(fault.daemon);
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -93,7 +93,7 @@
 asio::awaitable<void> SoakRun::observeAlways()
 {
     while (!m_stopObserving) {
-        co_await m_system.observe();
+        m_system.observe();
         co_await wait(observeInterval);
     }
 }
--- a/soak/SoakSystem.cpp
+++ b/soak/SoakSystem.cpp
@@ -93,10 +93,12 @@
     auto& state = m_daemons[static_cast<std::size_t>(daemon)];
     state.killed = false;
     state.terminated = false;
+    state.starting = true;
     ++state.starts;
     std::map<std::string, std::string> settings { { "data_centre", fmt::format("dc-{}", daemon % 3 + 1) },
         { "store_address", state.store->address() }, { "shutdown_delay_ms", "1000" }, { "usage_window_ms", "1000" } };
     auto started = co_await m_testbed.startDaemon(nameOf(daemon), std::move(settings));
+    state.starting = false;
     if (auto address = parseEndpoint(m_testbed.addressOf(nameOf(daemon))); started && address) {
         state.callers->setServer(*address);
     }
@@ -174,20 +176,21 @@
         kill(i);
         asio::co_spawn(m_io, restartDaemon(i), asio::detached);
     }
-    co_await wait(restartPause);
-    auto isRestarting = [](const Daemon& it) { return it.restarting; };
-    while (std::ranges::any_of(m_daemons, isRestarting)) {
+    co_await awaitRestarts();
+}
+
+asio::awaitable<void> SoakSystem::awaitRestarts()
+{
+    // A restart that was just spawned begins in the first wait.
+    do {
         co_await wait(pollInterval);
-    }
+    } while (std::ranges::any_of(m_daemons, &Daemon::restarting));
 }
 
 asio::awaitable<void> SoakSystem::stopAll()
 {
     m_stopping = true;
-    auto isRestarting = [](const Daemon& it) { return it.restarting; };
-    while (std::ranges::any_of(m_daemons, isRestarting)) {
-        co_await wait(pollInterval);
-    }
+    co_await awaitRestarts();
     if (auto stopped = co_await m_testbed.stopDaemons(); !stopped) {
         m_ledger.require(false, stopped.error().message);
     }
@@ -216,13 +219,12 @@
     return m_daemons[static_cast<std::size_t>(daemon)].callers->address();
 }
 
-asio::awaitable<void> SoakSystem::observe()
+void SoakSystem::observe()
 {
     for (int i = 0; i < m_options.size.daemons; ++i) {
         // A paused daemon does not answer; the others must not wait for it.
         asio::co_spawn(m_io, observeDaemon(i), asio::detached);
     }
-    co_return;
 }
 
 asio::awaitable<void> SoakSystem::observeDaemon(int daemon)
--- a/soak/SoakSystem.h
+++ b/soak/SoakSystem.h
@@ -33,7 +33,7 @@
     // Stops every daemon with SIGTERM; each must end with exit code 0.
     asio::awaitable<void> stopAll();
     // Once: readiness and configuration of each daemon, and whether a process ended by itself.
-    asio::awaitable<void> observe();
+    void observe();
 
     // Indexes of the daemons to which a load balancer sends new connections.
     std::vector<int> rotation() const;
@@ -49,7 +49,8 @@
         std::unique_ptr<FaultProxy> callers;
         std::unique_ptr<FaultProxy> store;
         int starts = 0;
-        bool restarting = false;
+        bool restarting = false; // from the end of a process until the next one listens
+        bool starting = false; // the next process does not listen yet
         bool killed = false;
         bool terminated = false;
         bool ready = false;
@@ -60,6 +61,7 @@
     asio::awaitable<Outcome<void>> startDaemon(int daemon);
     asio::awaitable<Outcome<void>> startEngine(int engine);
     asio::awaitable<void> restartDaemon(int daemon);
+    asio::awaitable<void> awaitRestarts();
     asio::awaitable<void> observeDaemon(int daemon);
     asio::awaitable<bool> awaitExit(std::string name, Duration bound);
     void kill(int daemon);
