Place shared prompt parts at agreed homes and use the slots of stream engines

Half of the engines were stream engines, which take no long prompts, and kept that role long after a burst of streams: one was removed a second, and only below a load of 0.15. Each decision looked at every engine.

Change: PartHomes gives each shared part six engines by rendezvous hashing. A decision looks at them and at four of the least loaded engines of each kind, ranked once a scheduler run. While few slots are free, a request waits for a slot of an engine that has its part, as long as its target allows. The reading time counts the engine's other requests. Stream engines are removed until their slots suit their streams. The reserve of slots counts those that become free by themselves, for model engines; predicted waits count slots as well as unread prompts. LoadMeter averages the load for the planning of servers. Slots are summed once a run instead of once a grant.

--- a/src/dispatch/DispatchState.cpp
+++ b/src/dispatch/DispatchState.cpp
@@ -98,11 +98,19 @@
 
 double DispatchState::predictedWait(Tier tier, MonotonicTime now)
 {
-    // The work is in slot seconds or, if the engines' prompts are known, in prompt tokens to read.
-    bool countsPrompts = pool.hasPromptEngines();
-    auto workOf
-        = [&](const auto& key) { return countsPrompts ? times.meanPromptWorkOf(key) : times.meanSlotSecondsOf(key); };
-    double work = countsPrompts ? pool.unreadTokens() : 0;
+    auto slotSeconds = [&](const auto& key) { return times.meanSlotSecondsOf(key); };
+    auto waitForSlot = predictedWaitFor(tier, 0, std::max(1, pool.expectedSlots()), slotSeconds, now);
+    if (!pool.hasPromptEngines()) {
+        return waitForSlot;
+    }
+    // Engines with known prompts may lack either the time to read the prompts or the slots to answer them.
+    auto promptWork = [&](const auto& key) { return times.meanPromptWorkOf(key); };
+    auto rate = std::max(1.0, pool.tokensReadPerSecond());
+    return std::max(waitForSlot, predictedWaitFor(tier, pool.unreadTokens(), rate, promptWork, now));
+}
+
+double DispatchState::predictedWaitFor(Tier tier, double work, double rate, const auto& workOf, MonotonicTime now)
+{
     double higherLoad = 0;
     for (const auto& [level, queue] : queues) {
         if (tier.isHigherThan(level)) {
@@ -115,7 +123,6 @@
             higherLoad += shares.arrivalsPerSecond(level, now) * workOf(level);
         }
     }
-    double rate = countsPrompts ? std::max(1.0, pool.tokensReadPerSecond()) : std::max(1, pool.expectedSlots());
     return work / std::max(rate * minRateFraction, rate - higherLoad);
 }
 
--- a/src/dispatch/DispatchState.h
+++ b/src/dispatch/DispatchState.h
@@ -11,6 +11,7 @@
 #include "dispatch/Dispatcher.h"
 #include "dispatch/GrantTable.h"
 #include "dispatch/LengthPredictor.h"
+#include "dispatch/LoadMeter.h"
 #include "dispatch/Quarantine.h"
 #include "dispatch/ServerPool.h"
 #include "dispatch/ServerSelector.h"
@@ -48,6 +49,9 @@
     // Predicted seconds until the last waiting request of the tier is granted: until a slot is free for it or, with
     // engines whose prompts are known, until they have read the prompts ahead of it.
     double predictedWait(Tier, MonotonicTime now);
+    // The same for one resource: the work ahead, what is done of it in a second, and the work of a request by class or
+    // by tier.
+    double predictedWaitFor(Tier, double work, double rate, const auto& workOf, MonotonicTime now);
 
     DispatchOptions options;
     SnapshotPtr snapshot;
@@ -60,6 +64,7 @@
     GrantTable grants;
     ServiceTimes times;
     LengthPredictor lengths;
+    LoadMeter load;
     TeamLimiter limiter;
     Quarantine quarantine;
     DispatchRetryBudget retryBudget;
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -103,6 +103,9 @@
     // Granted and waiting requests.
     std::map<Tier, int> requestsByTier;
     std::map<BackendServerId, int> grantsByServer;
+    // Averages over the last seconds; 0 until the domain has been busy for a second.
+    double meanRequests = 0; // granted and waiting
+    double readingServers = 0; // servers that reading prompts keeps busy
 };
 
 // A dispatcher's view of its domain at one moment, for the log.
--- a/src/dispatch/GrantScheduler.cpp
+++ b/src/dispatch/GrantScheduler.cpp
@@ -8,6 +8,8 @@
 
 // Added to the grant expiry: the first progress report of a grant may be delayed, and a slot in use must not be freed.
 constexpr Duration reportDelay = std::chrono::milliseconds(500);
+// Slots become free at irregular times, so half of them are a safety margin.
+constexpr double usableFreedFraction = 0.5;
 
 } // namespace
 
@@ -19,9 +21,16 @@
             m_state.shares.recordWaiting(tier, now);
         }
     }
-    grantSuspects(floor, now);
-    m_state.selector.beginSchedulerRun();
+    if (!m_state.suspects.empty() || m_isolatesServers) {
+        grantSuspects(floor, now);
+    }
+    if (std::ranges::all_of(m_state.queues, [](const auto& it) { return it.second.size() == 0; })) {
+        return;
+    }
+    m_state.selector.beginSchedulerRun(fromSeconds(m_state.times.meanSlotSeconds()));
     ++m_schedulerRun;
+    m_freeSlots = m_state.pool.freeSlots();
+    m_totalSlots = m_state.pool.totalSlots();
     while (m_state.pool.hasAvailableServer(now)) {
         if (!grantGuaranteed(floor, now) && !grantByTier(floor, now)) {
             return;
@@ -55,6 +64,7 @@
         server->isolated = server->runsSuspect = true;
         grant(std::move(waiting), *server, false, now);
     }
+    m_isolatesServers = !m_state.suspects.empty();
     if (m_state.suspects.empty()) {
         for (auto& [id, server] : m_state.pool.servers()) {
             server.isolated = server.runsSuspect;
@@ -81,7 +91,6 @@
 
 bool GrantScheduler::grantByTier(Tier floor, MonotonicTime now)
 {
-    int free = m_state.pool.freeSlots();
     for (auto& [tier, queue] : m_state.queues) {
         if (floor.isHigherThan(tier)) {
             return false;
@@ -90,7 +99,7 @@
             continue;
         }
         int reserve = reservedSlots(tier, now);
-        if (reserve > 0 && free <= reserve) {
+        if (reserve > 0 && m_freeSlots <= reserve) {
             return false;
         }
         if (grantFrom(queue, false, now)) {
@@ -105,16 +114,22 @@
     if (!m_state.options.useReserve) {
         return 0;
     }
-    int total = m_state.pool.totalSlots();
     double largest = m_state.options.largestReserve;
     const auto* tiers = m_state.snapshot ? &m_state.snapshot->configuration().tiers : nullptr;
     bool isHighest = !tiers || tiers->empty() || !tiers->begin()->first.isHigherThan(tier);
     // A new dispatcher has no measurements yet. Without a reserve, the first entry to send its state could fill every
     // slot with work of lower tiers.
     if (m_state.isSettling(now) && !isHighest) {
-        return static_cast<int>(largest * total);
+        return static_cast<int>(largest * m_totalSlots);
+    }
+    auto reserve = m_state.shares.reservedSlots(tier, m_totalSlots, largest, now);
+    if (!m_state.pool.hasPromptEngines()) {
+        return reserve;
     }
-    return m_state.shares.reservedSlots(tier, total, largest, now);
+    // Model engines with known prompts answer in a second or two, and admit urgent requests first. Slots that become
+    // free by themselves go to the highest tier that waits, so they serve its burst as well.
+    double freed = (m_totalSlots - m_freeSlots) / m_state.times.meanSlotSeconds() * toSeconds(ArrivalMeter::interval);
+    return std::max(0, reserve - static_cast<int>(usableFreedFraction * freed));
 }
 
 bool GrantScheduler::grantFrom(TierQueue& queue, bool guaranteed, MonotonicTime now)
@@ -157,6 +172,7 @@
     granted.charged = waiting->cost;
     granted.promptWork = ServerSelector::promptWork(m_state.selector.uncachedTokens(server, granted.place));
     granted.queuedPromptWork = server.pendingWork;
+    m_state.load.recordReading(fromSeconds(granted.promptWork * server.secondsPerPromptToken()), now);
     m_state.times.recordPromptWork(granted.place.className, granted.place.tier, granted.promptWork);
     granted.inFlightAtGrant = server.inFlight;
     granted.guaranteed = guaranteed;
@@ -174,7 +190,9 @@
         server.lastSlowTrial = now;
     }
     ++server.inFlight;
+    --m_freeSlots;
     server.addAwaitingFirstByte(now, granted.promptWork);
+    m_state.selector.recordGrant(server);
     auto tier = granted.place.tier;
     m_state.queueOf(tier).charge(granted.place.team, m_state.weightOf(granted.place.team), waiting->cost);
     m_state.shares.recordGranted(waiting->cost, now);
--- a/src/dispatch/GrantScheduler.h
+++ b/src/dispatch/GrantScheduler.h
@@ -30,6 +30,10 @@
     DispatchState& m_state;
     std::uint64_t m_lastGrantId = 0;
     std::uint64_t m_schedulerRun = 0;
+    // Slots of all usable servers in the current run, and how many of them are free.
+    int m_totalSlots = 0;
+    int m_freeSlots = 0;
+    bool m_isolatesServers = false; // servers may be isolated for suspect requests
 };
 
 } // namespace lagoonspoke
--- a/src/dispatch/PolicyDispatcher.cpp
+++ b/src/dispatch/PolicyDispatcher.cpp
@@ -88,7 +88,7 @@
     m_tracker.expire(now);
     m_shedder.dropExpired(now);
     refuseWithoutServers(now);
-    if (now >= m_lastSchedulerRun + m_schedulerInterval || isQueueShort()) {
+    if (now >= m_lastSchedulerRun + m_schedulerInterval || waitingCount() <= maxShortQueue) {
         m_lastSchedulerRun = now;
         m_scheduler.grantFreeSlots(now);
     }
@@ -97,16 +97,22 @@
         m_preemptor.preemptForHigherTiers(now);
     }
     publishFloor(now);
+    recordLoad(now);
     return std::exchange(m_state.actions, {});
 }
 
-bool PolicyDispatcher::isQueueShort() const
+std::size_t PolicyDispatcher::waitingCount() const
 {
     std::size_t waiting = m_state.suspects.size();
     for (const auto& [tier, queue] : m_state.queues) {
         waiting += queue.size();
     }
-    return waiting <= maxShortQueue;
+    return waiting;
+}
+
+void PolicyDispatcher::recordLoad(MonotonicTime now)
+{
+    m_state.load.recordRequests(m_state.grants.all().size() + waitingCount(), now);
 }
 
 std::optional<MonotonicTime> PolicyDispatcher::nextWakeup() const
@@ -312,6 +318,8 @@
     for (const auto& [tier, queue] : m_state.queues) {
         load.requestsByTier[tier] += static_cast<int>(queue.size());
     }
+    load.meanRequests = m_state.load.requests();
+    load.readingServers = m_state.load.readingServers();
     return load;
 }
 
--- a/src/dispatch/PolicyDispatcher.h
+++ b/src/dispatch/PolicyDispatcher.h
@@ -40,7 +40,8 @@
     void applyCacheEvents(const CacheEventsReported&);
     void refuseWithoutServers(MonotonicTime now);
     void publishFloor(MonotonicTime now);
-    bool isQueueShort() const;
+    std::size_t waitingCount() const;
+    void recordLoad(MonotonicTime now);
     // The lowest tier that this dispatcher currently admits, regardless of other dispatchers' floors.
     Tier ownFloor(MonotonicTime now) const;
 
--- a/src/dispatch/PromptPlacement.cpp
+++ b/src/dispatch/PromptPlacement.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <tuple>
-#include <vector>
+
+#include "dispatch/ServerSelector.h"
 
 namespace lagoonspoke {
 
@@ -15,9 +16,9 @@
 // The same limit for a prompt that is too short to delay others: it need not wait until a long prompt is read. Just
 // below the shortest common first-token target, so that the prompt can meet it behind the unread ones.
 constexpr Duration maxUnreadTimeOfShortPrompt = 450ms;
-// Cost of reading one prompt token again, on the scale of a request's waiting time: about 2 s for a part of 13,000
-// tokens.
-constexpr Duration rereadCost = 150us;
+// Cost of reading one prompt token again, on the scale of a request's waiting time: 2.6 s for a part of 13,000 tokens.
+// Reading it delays every other request on the engine besides.
+constexpr Duration rereadCost = 200us;
 // Cost of missing the target, after which a request has lost most of its value.
 constexpr Duration lateCost = 2500ms;
 // Cost per stream with a short gap target that a long prompt would stall.
@@ -29,11 +30,17 @@
 constexpr double stallGapFraction = 0.4;
 // A request stops waiting for its best engine when the time left to its target on another engine is this short.
 constexpr Duration targetMargin = 100ms;
+// A request that is late already waits for its best engine until this long before its latest start.
+constexpr Duration lateStartMargin = 1s;
+// Engines of each kind that a decision looks at besides the homes of its part.
+constexpr int rankedCandidates = 4;
+// Part of the slots that is free at least when there is no need to wait for the slot of a certain engine.
+constexpr double crowdedFreeFraction = 0.5;
 constexpr Duration streamEngineInterval = 1s;
-// Load of the stream engines, in streams per slot, above which one is added and below which one is removed. More
-// streams on an engine would slow down their tokens.
-constexpr double maxStreamLoad = 0.5;
-constexpr double minStreamLoad = 0.15;
+// Load of the stream engines, in streams per slot, above which one is added, and below which one is removed. Slots that
+// they do not use are lost for all other requests.
+constexpr double maxStreamLoad = 0.65;
+constexpr double minStreamLoad = 0.4;
 
 } // namespace
 
@@ -44,7 +51,16 @@
 
 Duration PromptPlacement::readingTime(const ServerState& state, Tokens uncached) const
 {
-    return fromSeconds(static_cast<double>(uncached.count) * state.secondsPerPromptToken());
+    return fromSeconds(static_cast<double>(uncached.count) * state.secondsPerPromptToken()
+        * ServerSelector::loadFactor(state.inFlight, state.server.slots));
+}
+
+Duration PromptPlacement::slotWait(const ServerState& state) const
+{
+    if (state.hasFreeSlot()) {
+        return Duration(0);
+    }
+    return m_meanSlotTime * (state.promisedSlots + 1) / std::max(1, state.usableSlots);
 }
 
 Tokens PromptPlacement::stallFreeTokens(const ServerState& state) const
@@ -73,7 +89,8 @@
 bool PromptPlacement::canStartNow(
     const ServerState& state, const WaitingRequest& waiting, Tokens uncached, MonotonicTime now) const
 {
-    if (state.declinedSince(now - m_options.declinedBackoff) || state.cache.isBeingRead(waiting.place, now)) {
+    if (!state.hasFreeSlot() || state.declinedSince(now - m_options.declinedBackoff)
+        || state.cache.isBeingRead(waiting.place, now)) {
         return false;
     }
     if (state.pendingWork <= 0) {
@@ -88,14 +105,14 @@
 }
 
 PromptPlacement::Choice PromptPlacement::assess(
-    ServerState& state, const WaitingRequest& waiting, MonotonicTime now) const
+    ServerState& state, const WaitingRequest& waiting, std::size_t homeRank, MonotonicTime now) const
 {
     auto uncached = uncachedTokens(state, waiting.place);
     bool isPromisedHere = waiting.promisedRun == m_schedulerRun && waiting.promisedServer == &state;
     auto queuedPromptWork
         = state.pendingWork + state.promisedWork - (isPromisedHere ? static_cast<double>(uncached.count) : 0);
     auto unread = Tokens { static_cast<std::int64_t>(std::max(0.0, queuedPromptWork)) };
-    auto time = readingTime(state, uncached + unread);
+    auto time = readingTime(state, uncached + unread) + slotWait(state);
     if (!state.awaitingFirstByte.empty()) {
         // A request that still waits for its first byte reveals a slowdown before any response arrives.
         time = std::max(time, now - *state.awaitingFirstByte.begin());
@@ -103,6 +120,8 @@
     auto own = waiting.place.prefixTokens.empty() ? Tokens() : waiting.place.prefixTokens.back();
     auto reread = std::max<std::int64_t>(0, uncached.count - own.count);
     auto cost = time + rereadCost * reread;
+    // A part that has to be read is read at its first homes, where later requests for it go too.
+    cost += rereadCost * reread * homeRank / PartHomes::homesPerPart;
     if (now + time > waiting.target && !waiting.late) {
         cost += lateCost;
     }
@@ -122,15 +141,12 @@
 ServerState* PromptPlacement::choose(const WaitingRequest& waiting, bool excludedAll, MonotonicTime now)
 {
     adjustStreamEngines(now);
+    rankEngines(now);
     Choice best;
     Choice free; // the best one that can start the request now
     auto rank = [](const Choice& it) { return std::tuple(it.probe, it.failures, it.cost); };
-    for (auto& [id, state] : m_pool.servers()) {
-        // It is unknown when a slot will become free, so no request waits for one while other servers have free slots.
-        if (!state.hasFreeSlot() || !isCandidate(state, waiting, excludedAll, now)) {
-            continue;
-        }
-        auto choice = assess(state, waiting, now);
+    auto consider = [&](ServerState& state, std::size_t homeRank) {
+        auto choice = assess(state, waiting, homeRank, now);
         if (!best.server || rank(choice) < rank(best)) {
             best = choice;
         }
@@ -138,24 +154,133 @@
         if (choice.canStartNow && !stalls && (!free.server || rank(choice) < rank(free))) {
             free = choice;
         }
+    };
+    const auto& parts = waiting.place.prefix;
+    if (parts.size() > 1) {
+        const auto& homes = m_homes.find(parts[parts.size() - 2], m_pool);
+        for (std::size_t i = 0; i < homes.size(); ++i) {
+            // No request waits for a slot while there are plenty of others.
+            bool isWorthWaiting = homes[i]->hasFreeSlot()
+                || (m_isCrowded && uncachedTokens(*homes[i], waiting.place) < waiting.place.promptTokens);
+            if (isWorthWaiting && isCandidate(*homes[i], waiting, excludedAll, now)) {
+                consider(*homes[i], i);
+            }
+        }
+    }
+    for (auto& ranking : m_rankings) {
+        while (
+            ranking.firstFree < ranking.engines.size() && !ranking.engines[ranking.firstFree].second->hasFreeSlot()) {
+            ++ranking.firstFree;
+        }
+        int candidates = 0;
+        for (auto i = ranking.firstFree; i < ranking.engines.size() && candidates < rankedCandidates; ++i) {
+            auto& state = *ranking.engines[i].second;
+            if (state.hasFreeSlot() && isCandidate(state, waiting, excludedAll, now)) {
+                consider(state, PartHomes::homesPerPart);
+                ++candidates;
+            }
+        }
     }
-    // A request waits for its best engine only as long as another one could still meet its target afterwards.
-    if (best.server && !best.canStartNow && free.server && now + free.time + targetMargin >= waiting.target) {
-        return free.server;
+    if (!best.server) {
+        return nullptr;
     }
-    if (best.server && !best.canStartNow && waiting.promisedRun != m_schedulerRun) {
-        waiting.promisedRun = m_schedulerRun;
-        waiting.promisedServer = best.server;
-        best.server->promisedWork += static_cast<double>(best.uncached.count);
+    // A request waits for its best engine only as long as another one could still meet its target afterwards, or, when
+    // it is late, could still serve it.
+    auto limit = waiting.late ? waiting.latestStart - lateStartMargin : waiting.target - free.time - targetMargin;
+    auto* chosen = best.canStartNow ? best.server : free.server && now >= limit ? free.server : nullptr;
+    if (!chosen) {
+        promise(waiting, best);
     }
-    return best.canStartNow ? best.server : nullptr;
+    return chosen;
 }
 
-void PromptPlacement::beginSchedulerRun()
+void PromptPlacement::promise(const WaitingRequest& waiting, const Choice& best)
+{
+    if (waiting.promisedRun == m_schedulerRun) {
+        return;
+    }
+    waiting.promisedRun = m_schedulerRun;
+    waiting.promisedServer = best.server;
+    best.server->promisedWork += static_cast<double>(best.uncached.count);
+    ++best.server->promisedSlots;
+}
+
+void PromptPlacement::beginSchedulerRun(Duration meanSlotTime)
 {
     ++m_schedulerRun;
+    m_meanSlotTime = meanSlotTime;
+}
+
+double PromptPlacement::loadOf(const ServerState& state)
+{
+    // Engines that are due for a probe come first; otherwise they would never be chosen under light load.
+    if (state.health.isEjected()) {
+        return -1;
+    }
+    auto factor = ServerSelector::loadFactor(state.inFlight, state.server.slots);
+    return (state.pendingWork * state.secondsPerPromptToken() + 0.001) * factor;
+}
+
+void PromptPlacement::rankEngines(MonotonicTime now)
+{
+    if (m_rankedRun == m_schedulerRun) {
+        return;
+    }
+    m_rankedRun = m_schedulerRun;
+    for (auto& ranking : m_rankings) {
+        ranking.engines.clear();
+        ranking.firstFree = 0;
+    }
+    int slots = 0;
+    int free = 0;
     for (auto& [id, state] : m_pool.servers()) {
         state.promisedWork = 0;
+        state.promisedSlots = 0;
+        if (state.server.leaving || state.isolated || (state.health.isEjected() && !state.health.isProbeDue(now))) {
+            continue;
+        }
+        slots += state.usableSlots;
+        free += std::max(0, state.usableSlots - state.inFlight);
+        m_rankings.at(isStreamEngine(state) ? 1 : 0).engines.emplace_back(loadOf(state), &state);
+    }
+    m_isCrowded = free < crowdedFreeFraction * slots;
+    for (auto& ranking : m_rankings) {
+        std::ranges::stable_sort(ranking.engines, {}, &std::pair<double, ServerState*>::first);
+    }
+}
+
+void PromptPlacement::recordGrant(const ServerState& state)
+{
+    if (m_rankedRun != m_schedulerRun) {
+        return;
+    }
+    auto& engines = m_rankings.at(isStreamEngine(state) ? 1 : 0).engines;
+    auto it = std::ranges::find(engines, &state, &std::pair<double, ServerState*>::second);
+    if (it == engines.end()) {
+        return;
+    }
+    // The others keep their order, so only this one moves.
+    it->first = loadOf(state);
+    auto position
+        = std::ranges::upper_bound(it + 1, engines.end(), it->first, {}, &std::pair<double, ServerState*>::first);
+    std::rotate(it, it + 1, position);
+}
+
+void PromptPlacement::removeStreamEngines(int streams, int slots)
+{
+    std::vector<const ServerState*> engines;
+    for (const auto& id : m_streamEngines) {
+        engines.push_back(m_pool.find(id));
+    }
+    // Those with the fewest streams are free for other work soonest.
+    std::ranges::stable_sort(
+        engines, {}, [](const ServerState* it) { return std::pair(!it->server.cheap, it->gapSensitive); });
+    for (const auto* engine : engines) {
+        slots -= engine->usableSlots;
+        if (m_streamEngines.size() == 1 || streams > maxStreamLoad * slots) {
+            return;
+        }
+        m_streamEngines.erase(engine->server.id);
     }
 }
 
@@ -181,7 +306,7 @@
         }
     }
     if (m_streamEngines.size() > 1 && streams < minStreamLoad * slots) {
-        m_streamEngines.erase(std::prev(m_streamEngines.end()));
+        removeStreamEngines(streams, slots);
         return;
     }
     // Prefers servers that the platform does not evict, that already run many such streams, and that have few cached
--- a/src/dispatch/ServerPool.cpp
+++ b/src/dispatch/ServerPool.cpp
@@ -33,6 +33,7 @@
         }
     }
     m_servers = std::move(servers);
+    ++m_generation;
 }
 
 void ServerPool::setCacheCapacity(Tokens memory)
--- a/src/dispatch/ServerPool.h
+++ b/src/dispatch/ServerPool.h
@@ -21,6 +21,8 @@
     // Capacity of each server's prefix cache; zero when unknown.
     void setCacheCapacity(Tokens);
     ServerState* find(const BackendServerId&);
+    // Changes with every change of the list of servers.
+    std::uint64_t generation() const { return m_generation; }
     std::map<BackendServerId, ServerState>& servers() { return m_servers; }
     const std::map<BackendServerId, ServerState>& servers() const { return m_servers; }
 
@@ -53,6 +55,7 @@
 
     const DispatchOptions& m_options;
     Tokens m_cacheCapacity;
+    std::uint64_t m_generation = 0;
     std::map<BackendServerId, ServerState> m_servers; // ordered, so that decisions do not depend on hash order
 };
 
--- a/src/dispatch/ServerState.h
+++ b/src/dispatch/ServerState.h
@@ -54,6 +54,7 @@
     PrefixCache cache; // from the prompts sent to the engine
     int gapSensitive = 0; // requests in flight whose class has a short gap target
     double pendingWork = 0; // prompt work of requests without a first byte
+    int promisedSlots = 0; // requests that wait for a slot of this server in the current scheduler run
     double promisedWork = 0; // prompt work of requests that wait for this server in the current scheduler run
     std::multiset<MonotonicTime> awaitingFirstByte; // grant times of requests without a first byte
     std::optional<MonotonicTime> diedAt; // grants made up to then ended with the server's death
