Order backend servers by the measured load

After an eviction it ordered lasting servers for all missing ones, though the others carried the load. Orders were repeated every 2 s while servers were starting.

Change: the dispatcher's mean load, by requests and by the reading of prompts, reaches the holders of fleet leases with the messages of DemandService. The planner keeps capacity_headroom (3) servers for each busy one, at most three quarters of the bound; lasting ones are a floor of one in each data centre, or what an eviction in one data centre needs beyond the rest; the data centres with the lowest prices get the remainders. It follows a rise at once, a fall after twice the start time. Stand-ins are ordered for the shortfall alone. An order that was taken is repeated only once its servers had time to start.

--- a/src/daemon/CapacityService.cpp
+++ b/src/daemon/CapacityService.cpp
@@ -11,9 +11,9 @@
 } // namespace
 
 CapacityService::CapacityService(
-    asio::io_context& io, std::vector<DataCentreId> dataCentres, CapacityOrdersPtr orders, MayAct mayAct)
+    asio::io_context& io, CapacityPlanner::Options options, CapacityOrdersPtr orders, MayAct mayAct)
     : m_io(io)
-    , m_dataCentres(std::move(dataCentres))
+    , m_plannerOptions(std::move(options))
     , m_orders(std::move(orders))
     , m_mayAct(std::move(mayAct))
     , m_timer(io)
@@ -41,9 +41,14 @@
 {
     m_snapshot = std::move(snapshot);
     for (const auto& [name, deployment] : m_snapshot->configuration().deployments) {
-        CapacityPlanner::Options options;
-        options.dataCentres = m_dataCentres;
-        m_planners.try_emplace(name, CapacityPlanner(std::move(options)));
+        m_planners.try_emplace(name, CapacityPlanner(m_plannerOptions));
+    }
+}
+
+void CapacityService::applyDemand(const TargetName& target, double load)
+{
+    if (auto it = m_planners.find(target); it != m_planners.end()) {
+        it->second.setLoad(load);
     }
 }
 
@@ -67,7 +72,7 @@
     if (!m_snapshot || !m_servers) {
         return;
     }
-    for (const auto& dataCentre : m_dataCentres) {
+    for (const auto& dataCentre : m_plannerOptions.dataCentres) {
         auto token = m_mayAct(dataCentre);
         if (!token) {
             continue;
@@ -110,6 +115,9 @@
     std::function<bool()> holds
         = [this, dataCentre = order.dataCentre, token = order.token] { return m_mayAct(dataCentre) == token; };
     auto outcome = co_await m_orders->order(order, holds);
+    if (!outcome) {
+        m_planners.at(order.target).recordRefusal(order.dataCentre, order.cheap);
+    }
     LogLine(LogLevel::Info, "capacity_ordered")
         .add("target", order.target.value())
         .add("data_centre", order.dataCentre.value())
--- a/src/daemon/CapacityService.h
+++ b/src/daemon/CapacityService.h
@@ -20,11 +20,14 @@
     // Whether an order under the lease of the data centre may be written now, and with which token.
     using MayAct = std::function<std::optional<FencingToken>(const DataCentreId&)>;
 
-    CapacityService(asio::io_context&, std::vector<DataCentreId>, CapacityOrdersPtr, MayAct);
+    // The options are those of each deployment's planner.
+    CapacityService(asio::io_context&, CapacityPlanner::Options, CapacityOrdersPtr, MayAct);
 
     void start();
     void stop();
     void applySnapshot(SnapshotPtr);
+    // The backend servers that the target's load keeps busy, over all data centres; 0 when unknown.
+    void applyDemand(const TargetName&, double load);
     // The lease of the data centre was gained, or lost when there is no token.
     void applyLease(const DataCentreId&, std::optional<FencingToken>);
     // The whole list of backend servers.
@@ -38,7 +41,7 @@
     asio::awaitable<void> give(const CapacityOrder&);
 
     asio::io_context& m_io;
-    std::vector<DataCentreId> m_dataCentres;
+    CapacityPlanner::Options m_plannerOptions;
     CapacityOrdersPtr m_orders;
     MayAct m_mayAct;
     asio::steady_timer m_timer;
--- a/src/daemon/ControlLoop.cpp
+++ b/src/daemon/ControlLoop.cpp
@@ -160,7 +160,11 @@
     std::vector<DomainLoad> loads;
     for (const auto& [domain, dispatcher] : m_dispatchers) {
         auto measured = dispatcher.load();
-        DomainLoad load { domain, 0, 0, std::move(measured.grantsByServer) };
+        DomainLoad load;
+        load.domain = domain;
+        load.busy = std::move(measured.grantsByServer);
+        load.meanRequests = measured.meanRequests;
+        load.readingServers = measured.readingServers;
         for (const auto& [tier, count] : measured.requestsByTier) {
             load.slots += count;
             load.protectedSlots += tier == Tier() ? count : 0;
--- a/src/daemon/DemandService.cpp
+++ b/src/daemon/DemandService.cpp
@@ -1,5 +1,6 @@
 #include "daemon/DemandService.h"
 
+#include <algorithm>
 #include <set>
 
 #include <fmt/format.h>
@@ -18,6 +19,7 @@
 {
     FleetDemand demand;
     demand.load = load.slots / deployment.slotsPerServer;
+    demand.meanLoad = std::max(load.meanRequests / deployment.slotsPerServer, load.readingServers);
     demand.protectedLoad = load.protectedSlots / deployment.slotsPerServer;
     demand.minServers = deployment.minServers;
     demand.maxServers = deployment.maxServers;
--- a/src/daemon/StoreServices.cpp
+++ b/src/daemon/StoreServices.cpp
@@ -89,7 +89,10 @@
 {
     auto mayAct = [this](const DataCentreId& dataCentre) { return mayOrder(dataCentre); };
     if (interfaces.capacity) {
-        m_capacity.emplace(io, m_dataCentres, interfaces.capacity, std::move(mayAct));
+        CapacityPlanner::Options options;
+        options.dataCentres = m_dataCentres;
+        options.headroom = m_settings.capacityHeadroom;
+        m_capacity.emplace(io, std::move(options), interfaces.capacity, std::move(mayAct));
         return;
     }
     if (!interfaces.fleet) {
@@ -127,7 +130,7 @@
 
 bool StoreServices::holdsFleetLease() const
 {
-    return m_fleet && std::ranges::any_of(m_dataCentres, [this](const DataCentreId& it) {
+    return (m_fleet || m_capacity) && std::ranges::any_of(m_dataCentres, [this](const DataCentreId& it) {
         return m_leases.isHolder(LeaseService::fleetLease(it));
     });
 }
@@ -140,6 +143,8 @@
     callbacks.applyDemand = [this](const TargetName& target, const FleetDemand& demand) {
         if (m_fleet) {
             m_fleet->applyDemand(target, demand);
+        } else if (m_capacity) {
+            m_capacity->applyDemand(target, demand.meanLoad);
         }
     };
     callbacks.applyBusy = [this](std::map<BackendServerId, int> busy) {
--- a/src/fleet/CapacityPlanner.h
+++ b/src/fleet/CapacityPlanner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "fleet/FleetPlanner.h"
@@ -18,28 +19,40 @@
     bool operator==(const WishedCount&) const = default;
 };
 
-// Plans the servers of one deployment for a platform that takes wished numbers for each data centre: a few servers that
-// last in every data centre, which carry the protected tiers, and cheap ones for the rest. Lasting servers stand in for
-// cheap ones that are missing, and are given back once these serve. Pure; owned by CapacityService.
+// Plans the servers of one deployment for a platform that takes wished numbers for each data centre. It handles these
+// load patterns:
+// - A burst comes sooner than new servers start: the servers are a multiple of those that the mean load keeps busy.
+// - All cheap servers of one data centre are evicted at once: those that are left still carry the mean load with a
+//   quarter of the headroom. Lasting servers are ordered only for what the others do not carry.
+// - Load that rises and falls: the plan follows a rise at once and a fall only when it has lasted.
+// Pure; owned by CapacityService.
 class CapacityPlanner {
 public:
     struct Options {
         std::vector<DataCentreId> dataCentres;
-        // Part of the servers that must last; the rest may be evicted, those of one data centre at once.
-        double lastingPart = 1.0 / 3;
-        // Part of the largest number of servers that is kept at any load: bursts come sooner than new servers start.
-        double keptPart = 0.5;
-        // Time until an order is repeated while its servers are missing.
+        // Servers for each one that the mean load keeps busy.
+        double headroom = 3;
+        // Part of the platform's bound that is kept while the load is unknown.
+        double initialPart = 0.5;
+        // Part of the platform's bound that no load exceeds.
+        double largestPart = 0.75;
+        // Time until an order that was refused is repeated. One that was taken is repeated, while its servers are
+        // missing, once they had the time to start besides.
         Duration repeatInterval = std::chrono::seconds(2);
     };
 
     explicit CapacityPlanner(Options);
 
+    // The servers that the load keeps busy on average, over all data centres. 0 means that it was not measured, as by a
+    // new dispatcher, and leaves the last known load in force.
+    void setLoad(double load) { m_load = load > 0 ? load : m_load; }
     // The counts that each data centre shall have in the end.
     FleetPlan plan(const DeploymentSpec&) const;
-    // The orders to give now in one data centre, by what is there.
+    // The orders to give now in one data centre, by the servers of all data centres.
     std::vector<WishedCount> adjust(
         const DeploymentSpec&, const DataCentreId&, const std::vector<BackendServer>&, MonotonicTime now);
+    // The platform refused the order for the kind of server, or its answer was lost.
+    void recordRefusal(const DataCentreId&, bool cheap);
     // The orders of the data centre are to be given again, as another instance may have given others.
     void forgetOrders(const DataCentreId&);
 
@@ -47,11 +60,29 @@
     struct Ordered {
         int count = 0;
         MonotonicTime at;
+        bool refused = false;
     };
+    using Present = std::map<DataCentreId, FleetCounts>;
 
-    bool isDue(const WishedCount&, int present, MonotonicTime now) const;
+    // Servers of all data centres that the load and the bounds call for.
+    int wantedTotal(const DeploymentSpec&) const;
+    // Servers that must be left when one data centre loses its cheap ones.
+    int survivorsNeeded(int total) const;
+    // The cheapest way to have the total, and enough servers left after an eviction.
+    FleetCounts chooseMix(const DeploymentSpec&, int total) const;
+    void setTotal(const DeploymentSpec&, int total);
+    void followLoad(const DeploymentSpec&, MonotonicTime now);
+    Present countPresent(const DeploymentSpec&, const std::vector<BackendServer>&) const;
+    // Lasting servers to order in the data centre in place of cheap ones that are missing.
+    int standIns(const FleetPlan&, const Present&, const DataCentreId&, int total) const;
+    bool isDue(const DeploymentSpec&, const WishedCount&, int present, MonotonicTime now) const;
 
     Options m_options;
+    double m_load = 0;
+    int m_total = 0; // the planned number of servers; 0 before the first plan
+    FleetCounts m_mix; // chosen together with it
+    std::optional<MonotonicTime> m_lowSince; // since when fewer servers would do
+    int m_highestSinceLow = 0; // highest wanted number since then
     std::map<std::pair<DataCentreId, bool>, Ordered> m_ordered;
 };
 
--- a/src/fleet/FleetPlanner.h
+++ b/src/fleet/FleetPlanner.h
@@ -16,6 +16,9 @@
     int minServers = 0;
     int maxServers = 0;
     bool allowSpot = true;
+    // The load as an average over the last seconds, by slots or by the reading of prompts, whichever keeps more servers
+    // busy; 0 while too little was measured.
+    double meanLoad = 0;
 };
 
 struct FleetCounts {
--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -69,6 +69,7 @@
     settings.countsUsageAtStart = reader.readBool("counts_usage_at_start", settings.countsUsageAtStart);
     settings.answersIdleTimeout = reader.readBool("answers_idle_timeout", settings.answersIdleTimeout);
     settings.leaseTerm = reader.readMilliseconds("lease_term_ms", 1s, 1min, settings.leaseTerm);
+    settings.capacityHeadroom = reader.readNumber("capacity_headroom", 1, 100, settings.capacityHeadroom);
     settings.usageReportBound = reader.readMilliseconds("usage_report_bound_ms", 1s, 1h, settings.usageReportBound);
 }
 
--- a/src/settings/DaemonSettings.h
+++ b/src/settings/DaemonSettings.h
@@ -62,6 +62,9 @@
     Duration leaseTerm = std::chrono::seconds(10);
     // Time from the end of a usage window until its report is due.
     Duration usageReportBound = std::chrono::seconds(10);
+    // Backend servers that are kept for each one that the mean load keeps busy. Bursts of three times the mean come
+    // sooner than new servers start.
+    double capacityHeadroom = 3;
 };
 
 // Copies what can change while the daemon runs: the limits of callers' connections, and times.
--- a/src/wire/FleetCodec.cpp
+++ b/src/wire/FleetCodec.cpp
@@ -20,7 +20,8 @@
     }
     auto domain = builder.CreateString(load.domain.value());
     auto vector = builder.CreateVector(busy);
-    return wire::CreateDomainLoad(builder, domain, load.slots, load.protectedSlots, vector);
+    return wire::CreateDomainLoad(
+        builder, domain, load.slots, load.protectedSlots, vector, load.meanRequests, load.readingServers);
 }
 
 DomainLoad read(const wire::DomainLoad& table)
@@ -29,6 +30,8 @@
     load.domain = DomainId(toText(table.domain()));
     load.slots = table.load();
     load.protectedSlots = table.protected_load();
+    load.meanRequests = table.mean_requests();
+    load.readingServers = table.reading_servers();
     if (table.busy() != nullptr) {
         for (const auto* it : *table.busy()) {
             load.busy[BackendServerId(toText(it->server()))] = it->in_flight();
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -95,7 +95,9 @@
     VT_DOMAIN = 4,
     VT_LOAD = 6,
     VT_PROTECTED_LOAD = 8,
-    VT_BUSY = 10
+    VT_BUSY = 10,
+    VT_MEAN_REQUESTS = 12,
+    VT_READING_SERVERS = 14
   };
   const flatbuffers::String *domain() const {
     return GetPointer<const flatbuffers::String *>(VT_DOMAIN);
@@ -109,6 +111,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::BusyServer>> *busy() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::BusyServer>> *>(VT_BUSY);
   }
+  double mean_requests() const {
+    return GetField<double>(VT_MEAN_REQUESTS, 0.0);
+  }
+  double reading_servers() const {
+    return GetField<double>(VT_READING_SERVERS, 0.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DOMAIN) &&
@@ -118,6 +126,8 @@
            VerifyOffset(verifier, VT_BUSY) &&
            verifier.VerifyVector(busy()) &&
            verifier.VerifyVectorOfTables(busy()) &&
+           VerifyField<double>(verifier, VT_MEAN_REQUESTS, 8) &&
+           VerifyField<double>(verifier, VT_READING_SERVERS, 8) &&
            verifier.EndTable();
   }
 };
@@ -138,6 +148,12 @@
   void add_busy(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::BusyServer>>> busy) {
     fbb_.AddOffset(DomainLoad::VT_BUSY, busy);
   }
+  void add_mean_requests(double mean_requests) {
+    fbb_.AddElement<double>(DomainLoad::VT_MEAN_REQUESTS, mean_requests, 0.0);
+  }
+  void add_reading_servers(double reading_servers) {
+    fbb_.AddElement<double>(DomainLoad::VT_READING_SERVERS, reading_servers, 0.0);
+  }
   explicit DomainLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -154,8 +170,12 @@
     flatbuffers::Offset<flatbuffers::String> domain = 0,
     double load = 0.0,
     double protected_load = 0.0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::BusyServer>>> busy = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::BusyServer>>> busy = 0,
+    double mean_requests = 0.0,
+    double reading_servers = 0.0) {
   DomainLoadBuilder builder_(_fbb);
+  builder_.add_reading_servers(reading_servers);
+  builder_.add_mean_requests(mean_requests);
   builder_.add_protected_load(protected_load);
   builder_.add_load(load);
   builder_.add_busy(busy);
@@ -168,7 +188,9 @@
     const char *domain = nullptr,
     double load = 0.0,
     double protected_load = 0.0,
-    const std::vector<flatbuffers::Offset<lagoonspoke::wire::BusyServer>> *busy = nullptr) {
+    const std::vector<flatbuffers::Offset<lagoonspoke::wire::BusyServer>> *busy = nullptr,
+    double mean_requests = 0.0,
+    double reading_servers = 0.0) {
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto busy__ = busy ? _fbb.CreateVector<flatbuffers::Offset<lagoonspoke::wire::BusyServer>>(*busy) : 0;
   return lagoonspoke::wire::CreateDomainLoad(
@@ -176,7 +198,9 @@
       domain__,
       load,
       protected_load,
-      busy__);
+      busy__,
+      mean_requests,
+      reading_servers);
 }
 
 struct FleetPacket FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
