Wait for usage records after an outage of the store

Ruled out: lost copies; all records were stored.

Change: after an outage or a change of holder, a window without all its records is sealed 0.5 s before its report is due rather than at three quarters of that time.

Measured: the new test fails before (sealed without records) and passes after.

--- a/src/usage/UsageSealer.cpp
+++ b/src/usage/UsageSealer.cpp
@@ -88,7 +88,9 @@
         return false;
     }
     bool isLate = sinceEnd >= m_options.due;
-    return isLate ? sinceEnd - m_options.window >= m_options.latest : sinceEnd >= m_options.latest;
+    // After an outage or a change of the holder, the instances repeat the writes of their records within a second.
+    auto latest = m_now < m_sealNotBefore ? m_options.due - m_options.reportTime : m_options.latest;
+    return (isLate ? sinceEnd - m_options.window : sinceEnd) >= latest;
 }
 
 bool UsageSealer::isLookDue() const
--- a/src/usage/UsageSealer.h
+++ b/src/usage/UsageSealer.h
@@ -46,6 +46,8 @@
         // Time after the end of a window at which its report is late. A window that is late already waits for its
         // records until the next one is sealed in any case.
         Duration due = std::chrono::hours(1);
+        // Part of it that is kept for the seal and the report when the records may still come.
+        Duration reportTime = std::chrono::milliseconds(500);
         // Reported windows whose objects stay in the object store. Only a sealer that was paused, between the check of
         // its lease and a write, for longer than this many windows could seal a deleted window a second time.
         WindowNumber retention = 120;
--- a/src/usage/UsageSealerTest.cpp
+++ b/src/usage/UsageSealerTest.cpp
@@ -28,6 +28,12 @@
     {
         execute(m_sealer.handle(UsageWritersKnown { std::move(instances) }, now()));
     }
+    // The sealer loses the lease and gains it again, as a new holder would.
+    void changeHolder()
+    {
+        execute(m_sealer.handle(UsageLeaseChanged {}, now()));
+        execute(m_sealer.handle(UsageLeaseChanged { FencingToken(2) }, now()));
+    }
     // The record of a process of the instance on the window.
     void record(const std::string& instance, WindowNumber window, std::int64_t requests = 10)
     {
@@ -198,6 +204,43 @@
     CHECK(bed.reported[firstWindow + 1] == 20);
 }
 
+// Guards against a seal right after an outage, or after a change of the lease's holder, when the instances repeat their
+// writes within a second: such a window was reported with 53 of 478 requests, and the rest spoiled the next two.
+TEST_CASE("After an outage a window waits for its records until shortly before its report is due")
+{
+    for (bool newHolder : { false, true }) {
+        SealerBed bed;
+        bed.know({ a, b });
+        bed.runUntil(5200ms);
+        bed.down = true;
+        bed.runUntil(13900ms);
+        bed.down = false;
+        if (newHolder) {
+            bed.changeHolder();
+        }
+        bed.runUntil(14200ms);
+        CHECK_FALSE(bed.isSealed(firstWindow));
+        bed.record("a", firstWindow);
+        bed.record("b", firstWindow);
+        bed.runUntil(14900ms);
+        CHECK(bed.reported[firstWindow] == 20);
+    }
+}
+
+// Guards against a report that is late because a record never comes.
+TEST_CASE("After an outage a window without records is still reported in time")
+{
+    SealerBed bed;
+    bed.know({ a, b });
+    bed.runUntil(5200ms);
+    bed.down = true;
+    bed.runUntil(13500ms);
+    bed.down = false;
+    bed.record("a", firstWindow);
+    bed.runUntil(15s);
+    CHECK(bed.reported[firstWindow] == 10);
+}
+
 // Guards against windows that are late one after the other because the first waits for a record that never comes.
 TEST_CASE("A window that is late already does not make the next one late")
 {
