--- a/src/daemon/CapacityService.cpp
+++ b/src/daemon/CapacityService.cpp
@@ -123,6 +123,7 @@
         .add("data_centre", order.dataCentre.value())
         .add("cheap", order.cheap)
         .add("wanted", order.wanted)
+        .add("load", m_planners.at(order.target).load())
         .add("token", static_cast<std::uint64_t>(order.token))
         .add("outcome", outcome ? "taken" : outcome.error().message);
 }
--- a/src/fleet/CapacityPlanner.h
+++ b/src/fleet/CapacityPlanner.h
@@ -46,6 +46,7 @@
     // The servers that the load keeps busy on average, over all data centres. 0 means that it was not measured, as by a
     // new dispatcher, and leaves the last known load in force.
     void setLoad(double load) { m_load = load > 0 ? load : m_load; }
+    double load() const { return m_load; }
     // The counts that each data centre shall have in the end.
     FleetPlan plan(const DeploymentSpec&) const;
     // The orders to give now in one data centre, by the servers of all data centres.
