Bound what a backend server sends that never becomes an answer

The parser waits for the end of a chunk size line, of a chunk extension and of a trailer without a bound, and all of it was kept in memory: 64 MB, the whole flood of the test, in each of the five cases. An event that came a byte at a time restarted its timeout with every byte.

Change: a connection with more than 64 KiB that is no part of a body is given up as a protocol error. The time for an event runs from the last whole one.

Ruled out, as the test passed before: endless heads, header lines, status lines, interim answers, bodies over the limit, events without an end and bytes after a whole answer.

Measured: the new tests fail before (64 MB taken in five cases; the stream hung beyond 30 s) and pass after, 103 assertions.

--- a/src/entry/AnswerRelay.cpp
+++ b/src/entry/AnswerRelay.cpp
@@ -95,14 +95,14 @@
     co_return co_await relayParts(connection, length.value_or(0));
 }
 
-asio::awaitable<error_code> AnswerRelay::readPart(BackendConnection& connection, std::string& part)
+asio::awaitable<error_code> AnswerRelay::readPart(BackendConnection& connection, std::string& part, Duration bound)
 {
     // An interruption that arrived during a write to the caller.
     if (m_observer.isInterrupted()) {
         co_return asio::error::operation_aborted;
     }
     m_observer.setWait(Wait::Backend);
-    auto ec = co_await connection.readSome(part, m_settings.tokenGapTimeout);
+    auto ec = co_await connection.readSome(part, bound);
     m_observer.setWait(Wait::Nothing);
     co_return ec;
 }
@@ -137,7 +137,7 @@
     m_tail.clear();
     std::string part;
     while (true) {
-        if (auto ec = co_await readPart(connection, part)) {
+        if (auto ec = co_await readPart(connection, part, m_settings.tokenGapTimeout)) {
             co_return AttemptFailed { failureOf(ec) };
         }
         if (part.empty()) {
@@ -162,7 +162,7 @@
     std::string part;
     m_tail.clear();
     while (true) {
-        if (auto ec = co_await readPart(connection, part)) {
+        if (auto ec = co_await readPart(connection, part, m_settings.tokenGapTimeout)) {
             co_return AttemptFailed { failureOf(ec) };
         }
         if (part.empty()) {
@@ -187,8 +187,14 @@
 asio::awaitable<RequestEvent> AnswerRelay::relayEvents(BackendConnection& connection)
 {
     std::string part;
+    m_lastEventAt = readMonotonicClock();
     while (true) {
-        if (auto ec = co_await readPart(connection, part)) {
+        // A part of an event does not extend the time for the whole one.
+        auto bound = m_settings.tokenGapTimeout - (readMonotonicClock() - m_lastEventAt);
+        if (bound <= Duration(0)) {
+            co_return AttemptFailed { AttemptFailure::TimedOut };
+        }
+        if (auto ec = co_await readPart(connection, part, bound)) {
             co_return AttemptFailed { failureOf(ec) };
         }
         if (part.empty()) {
@@ -197,9 +203,13 @@
             m_tail.clear();
             co_return complete ? RequestEvent(AnswerCompleted {}) : AttemptFailed { AttemptFailure::Protocol };
         }
+        auto before = m_eventCount;
         if (auto event = co_await relayPart(part)) {
             co_return *event;
         }
+        if (m_eventCount > before) {
+            m_lastEventAt = readMonotonicClock();
+        }
     }
 }
 
@@ -210,6 +220,7 @@
     int tokens = 0;
     bool done = false;
     while (auto event = done ? std::nullopt : m_events.next()) {
+        ++m_eventCount;
         if (m_mode == Mode::NumberedEvents) {
             if (takeEventId(*event)) {
                 m_tokens.countEvent();
--- a/src/entry/AnswerRelay.h
+++ b/src/entry/AnswerRelay.h
@@ -69,7 +69,7 @@
     bool takeEventId(std::string_view event);
     // Moves the whole events of a part to the caller; nothing while the stream goes on.
     asio::awaitable<std::optional<RequestEvent>> relayPart(std::string_view part);
-    asio::awaitable<error_code> readPart(BackendConnection&, std::string& part);
+    asio::awaitable<error_code> readPart(BackendConnection&, std::string& part, Duration bound);
     asio::awaitable<error_code> writeParts(std::string_view data);
     asio::awaitable<error_code> startAnswer(std::uint64_t length);
 
@@ -78,6 +78,8 @@
     AnswerObserver& m_observer;
     TokenCounter m_tokens;
     SseReader m_events;
+    std::uint64_t m_eventCount = 0; // whole events of all attempts
+    MonotonicTime m_lastEventAt {}; // in the current attempt, or its start
     Mode m_mode = Mode::Whole;
     http::status m_status = http::status::ok;
     std::string m_contentType;
--- a/src/entry/BackendConnection.cpp
+++ b/src/entry/BackendConnection.cpp
@@ -13,6 +13,9 @@
 // Bounds the interim (1xx) responses before the response itself.
 constexpr int maxInterim = 8;
 constexpr std::uint32_t maxHeadBytes = 64 * 1024;
+// Bounds what is read without becoming part of a body: chunk size lines with their extensions, and trailers. The parser
+// itself waits for their ends without a bound.
+constexpr std::size_t maxUnparsedBytes = 64 * 1024;
 // A token's event fits in the smallest read.
 constexpr std::size_t minReadBytes = 1024;
 constexpr std::size_t maxReadBytes = 16 * 1024;
@@ -80,6 +83,9 @@
         if (ec || !part.empty() || m_parser->is_done()) {
             co_return ec;
         }
+        if (m_buffer.size() > maxUnparsedBytes) {
+            co_return error_code(http::error::buffer_overflow);
+        }
         auto space = m_buffer.prepare(std::clamp(m_buffer.capacity(), minReadBytes, maxReadBytes));
         auto [readError, n] = co_await m_stream.async_read_some(space, useTuple);
         if (readError == asio::error::eof) {
--- a/src/entry/CallerServiceFixture.h
+++ b/src/entry/CallerServiceFixture.h
@@ -50,7 +50,13 @@
 struct Work {
     Duration lasts;
 };
-using Step = std::variant<Send, Close, Hold, Work>;
+// Sends the text over and over until the other side closes, or up to mostFlooded bytes.
+struct Flood {
+    std::string text;
+    Duration pause {}; // between two texts
+};
+constexpr std::size_t mostFlooded = 64 << 20;
+using Step = std::variant<Send, Close, Hold, Work, Flood>;
 
 // Answers the n-th request that it receives with the n-th script; without a script it closes the connection.
 class ScriptedBackend {
@@ -67,6 +73,7 @@
 
     std::vector<std::string> requests;
     int connections = 0;
+    std::size_t flooded = 0; // bytes that the router, or the buffers between, took of floods
     int heldClosed = 0; // connections that the router closed while a script held them
 
 private:
@@ -115,6 +122,9 @@
                 co_await asio::async_write(socket, asio::buffer(send->text), useTuple);
             } else if (std::holds_alternative<Close>(step)) {
                 co_return false;
+            } else if (auto* flood = std::get_if<Flood>(&step)) {
+                co_await sendFlood(socket, *flood);
+                co_return false;
             } else if (auto* work = std::get_if<Work>(&step)) {
                 asio::steady_timer timer(m_acceptor.get_executor(), work->lasts);
                 co_await timer.async_wait(useTuple);
@@ -128,6 +138,22 @@
         co_return true;
     }
 
+    asio::awaitable<void> sendFlood(tcp::socket& socket, const Flood& flood)
+    {
+        asio::steady_timer timer(m_acceptor.get_executor());
+        while (flooded < mostFlooded) {
+            auto [ec, n] = co_await asio::async_write(socket, asio::buffer(flood.text), useTuple);
+            flooded += n;
+            if (ec) {
+                co_return;
+            }
+            if (flood.pause > Duration(0)) {
+                timer.expires_after(flood.pause);
+                co_await timer.async_wait(useTuple);
+            }
+        }
+    }
+
     tcp::acceptor m_acceptor;
     std::deque<std::vector<Step>> m_scripts;
 };
