Bound the time that a late request waits for its best engine

Cause: a late request could wait for one engine until a second before its latest start, though others were free.

Change: it waits for 3 s after its target at most; choose() is split into the parts that look at homes and at the least loaded engines.

--- a/src/dispatch/PromptPlacement.cpp
+++ b/src/dispatch/PromptPlacement.cpp
@@ -30,8 +30,12 @@
 constexpr double stallGapFraction = 0.4;
 // A request stops waiting for its best engine when the time left to its target on another engine is this short.
 constexpr Duration targetMargin = 100ms;
-// A request that is late already waits for its best engine until this long before its latest start.
+// A request that is late already waits for its best engine until this long after its target, and this long before its
+// latest start.
+constexpr Duration maxLateWait = 3s;
 constexpr Duration lateStartMargin = 1s;
+// Stands for the prompts of an engine without any, so that idle engines are ranked by their requests.
+constexpr double idleReadingSeconds = 0.001;
 // Engines of each kind that a decision looks at besides the homes of its part.
 constexpr int rankedCandidates = 4;
 // Part of the slots that is free at least when there is no need to wait for the slot of a certain engine.
@@ -138,60 +142,78 @@
         canStartNow(state, waiting, uncached, now) };
 }
 
-ServerState* PromptPlacement::choose(const WaitingRequest& waiting, bool excludedAll, MonotonicTime now)
+void PromptPlacement::consider(
+    Choices& choices, ServerState& state, const WaitingRequest& waiting, std::size_t homeRank, MonotonicTime now) const
 {
-    adjustStreamEngines(now);
-    rankEngines(now);
-    Choice best;
-    Choice free; // the best one that can start the request now
+    auto choice = assess(state, waiting, homeRank, now);
     auto rank = [](const Choice& it) { return std::tuple(it.probe, it.failures, it.cost); };
-    auto consider = [&](ServerState& state, std::size_t homeRank) {
-        auto choice = assess(state, waiting, homeRank, now);
-        if (!best.server || rank(choice) < rank(best)) {
-            best = choice;
-        }
-        bool stalls = state.gapSensitive > 0 && choice.uncached > stallFreeTokens(state);
-        if (choice.canStartNow && !stalls && (!free.server || rank(choice) < rank(free))) {
-            free = choice;
-        }
-    };
+    auto& [best, free] = choices;
+    if (!best.server || rank(choice) < rank(best)) {
+        best = choice;
+    }
+    bool stalls = state.gapSensitive > 0 && choice.uncached > stallFreeTokens(state);
+    if (choice.canStartNow && !stalls && (!free.server || rank(choice) < rank(free))) {
+        free = choice;
+    }
+}
+
+void PromptPlacement::considerHomes(
+    Choices& choices, const WaitingRequest& waiting, bool excludedAll, MonotonicTime now)
+{
     const auto& parts = waiting.place.prefix;
-    if (parts.size() > 1) {
-        const auto& homes = m_homes.find(parts[parts.size() - 2], m_pool);
-        for (std::size_t i = 0; i < homes.size(); ++i) {
-            // No request waits for a slot while there are plenty of others.
-            bool isWorthWaiting = homes[i]->hasFreeSlot()
-                || (m_isCrowded && uncachedTokens(*homes[i], waiting.place) < waiting.place.promptTokens);
-            if (isWorthWaiting && isCandidate(*homes[i], waiting, excludedAll, now)) {
-                consider(*homes[i], i);
-            }
+    if (parts.size() < 2) {
+        return; // the last part is the request's own
+    }
+    const auto& homes = m_homes.find(parts[parts.size() - 2], m_pool);
+    for (std::size_t i = 0; i < homes.size(); ++i) {
+        auto& state = *homes[i];
+        // No request waits for a slot of an engine without its parts, or while there are plenty of others.
+        bool hasParts = uncachedTokens(state, waiting.place) < waiting.place.promptTokens;
+        if ((state.hasFreeSlot() || (m_isCrowded && hasParts)) && isCandidate(state, waiting, excludedAll, now)) {
+            consider(choices, state, waiting, i, now);
         }
     }
+}
+
+void PromptPlacement::considerLeastLoaded(
+    Choices& choices, const WaitingRequest& waiting, bool excludedAll, MonotonicTime now)
+{
     for (auto& ranking : m_rankings) {
-        while (
-            ranking.firstFree < ranking.engines.size() && !ranking.engines[ranking.firstFree].second->hasFreeSlot()) {
+        const auto& engines = ranking.engines;
+        while (ranking.firstFree < engines.size() && !engines[ranking.firstFree].second->hasFreeSlot()) {
             ++ranking.firstFree;
         }
         int candidates = 0;
-        for (auto i = ranking.firstFree; i < ranking.engines.size() && candidates < rankedCandidates; ++i) {
-            auto& state = *ranking.engines[i].second;
+        for (auto i = ranking.firstFree; i < engines.size() && candidates < rankedCandidates; ++i) {
+            auto& state = *engines[i].second;
             if (state.hasFreeSlot() && isCandidate(state, waiting, excludedAll, now)) {
-                consider(state, PartHomes::homesPerPart);
+                consider(choices, state, waiting, PartHomes::homesPerPart, now);
                 ++candidates;
             }
         }
     }
-    if (!best.server) {
-        return nullptr;
+}
+
+ServerState* PromptPlacement::choose(const WaitingRequest& waiting, bool excludedAll, MonotonicTime now)
+{
+    adjustStreamEngines(now);
+    rankEngines(now);
+    Choices choices;
+    considerHomes(choices, waiting, excludedAll, now);
+    considerLeastLoaded(choices, waiting, excludedAll, now);
+    const auto& [best, free] = choices;
+    if (!best.server || best.canStartNow) {
+        return best.server;
     }
     // A request waits for its best engine only as long as another one could still meet its target afterwards, or, when
-    // it is late, could still serve it.
-    auto limit = waiting.late ? waiting.latestStart - lateStartMargin : waiting.target - free.time - targetMargin;
-    auto* chosen = best.canStartNow ? best.server : free.server && now >= limit ? free.server : nullptr;
-    if (!chosen) {
-        promise(waiting, best);
+    // it is late, for a limited time.
+    auto latest = waiting.late ? std::min(waiting.target + maxLateWait, waiting.latestStart - lateStartMargin)
+                               : waiting.target - free.time - targetMargin;
+    if (free.server && now >= latest) {
+        return free.server;
     }
-    return chosen;
+    promise(waiting, best);
+    return nullptr;
 }
 
 void PromptPlacement::promise(const WaitingRequest& waiting, const Choice& best)
@@ -218,7 +240,7 @@
         return -1;
     }
     auto factor = ServerSelector::loadFactor(state.inFlight, state.server.slots);
-    return (state.pendingWork * state.secondsPerPromptToken() + 0.001) * factor;
+    return (state.pendingWork * state.secondsPerPromptToken() + idleReadingSeconds) * factor;
 }
 
 void PromptPlacement::rankEngines(MonotonicTime now)
--- a/src/dispatch/PromptPlacement.h
+++ b/src/dispatch/PromptPlacement.h
@@ -19,7 +19,8 @@
 //   dedicated engines, the stream engines, which get no long prompts.
 // - Bursts of prompts: the unread prompt sent to an engine is limited to what it reads in a fraction of a second. The
 //   rest waits here, ordered by tier, so that a more urgent request soon finds a free engine.
-// A decision looks at the homes of the request's part and at a few of the least loaded engines, whatever their number.
+// A decision looks at the homes of the request's part and at a few of the least loaded engines, whatever their number;
+// they are ranked once a scheduler run.
 // Does no I/O. Owned by the ServerSelector.
 class PromptPlacement {
 public:
@@ -50,6 +51,11 @@
         Tokens uncached; // prompt tokens that the server would have to read
         bool canStartNow = false;
     };
+    // The best engine, and the best one that can start the request now; each null when there is none.
+    struct Choices {
+        Choice best;
+        Choice free;
+    };
     // Engines of one kind, the least loaded first.
     struct Ranking {
         std::vector<std::pair<double, ServerState*>> engines; // by load
@@ -58,6 +64,9 @@
 
     bool isCandidate(const ServerState&, const WaitingRequest&, bool excludedAll, MonotonicTime now) const;
     Choice assess(ServerState&, const WaitingRequest&, std::size_t homeRank, MonotonicTime now) const;
+    void consider(Choices&, ServerState&, const WaitingRequest&, std::size_t homeRank, MonotonicTime now) const;
+    void considerHomes(Choices&, const WaitingRequest&, bool excludedAll, MonotonicTime now);
+    void considerLeastLoaded(Choices&, const WaitingRequest&, bool excludedAll, MonotonicTime now);
     bool canStartNow(const ServerState&, const WaitingRequest&, Tokens uncached, MonotonicTime now) const;
     // Predicted time until a slot of the engine becomes free for one more waiting request.
     Duration slotWait(const ServerState&) const;
