--- a/src/dispatch/OverloadReplay.h
+++ b/src/dispatch/OverloadReplay.h
@@ -105,7 +105,9 @@
                         requests.push_back(job.place.request);
                     }
                 }
-                std::ranges::for_each(requests, [&](const RequestId& it) { engine.remove(it); });
+                for (const auto& request : requests) {
+                    engine.remove(request);
+                }
             }
             execute(m_dispatcher.handle(EntryLost { lost }, m_now));
         }
