Follow a change of the configured bounds of servers at once

The mix of lasting and cheap servers is chosen when the total changes; lower bounds, or cheap servers that are no longer allowed, took effect only with the next change of the load.

Change: the plan is made again when the bounds of the configuration differ from those it was made for.

Measured: the new test fails before (three of four checks) and passes after.

--- a/src/fleet/CapacityPlanner.cpp
+++ b/src/fleet/CapacityPlanner.cpp
@@ -95,7 +95,9 @@
 void CapacityPlanner::followLoad(const DeploymentSpec& deployment, MonotonicTime now)
 {
     auto wanted = wantedTotal(deployment);
-    if (wanted > growFraction * m_total) {
+    Bounds bounds { deployment.minServersPerDataCentre, deployment.maxServersPerDataCentre, deployment.allowCheap };
+    if (wanted > growFraction * m_total || m_bounds != bounds) {
+        m_bounds = bounds;
         setTotal(deployment, wanted);
     }
     if (wanted > shrinkFraction * m_total) {
--- a/src/fleet/CapacityPlanner.h
+++ b/src/fleet/CapacityPlanner.h
@@ -63,6 +63,14 @@
         MonotonicTime at;
         bool refused = false;
     };
+    // What the configuration says of the deployment's servers.
+    struct Bounds {
+        int least = 0;
+        int most = 0;
+        bool allowCheap = false;
+
+        bool operator==(const Bounds&) const = default;
+    };
     using Present = std::map<DataCentreId, FleetCounts>;
 
     // Servers of all data centres that the load and the bounds call for.
@@ -82,6 +90,7 @@
     double m_load = 0;
     int m_total = 0; // the planned number of servers; 0 before the first plan
     FleetCounts m_mix; // chosen together with it
+    std::optional<Bounds> m_bounds; // of the configuration that the total was chosen for
     std::optional<MonotonicTime> m_lowSince; // since when fewer servers would do
     int m_highestSinceLow = 0; // highest wanted number since then
     std::map<std::pair<DataCentreId, bool>, Ordered> m_ordered;
--- a/src/fleet/CapacityPlannerTest.cpp
+++ b/src/fleet/CapacityPlannerTest.cpp
@@ -163,6 +163,26 @@
     CHECK(totalAt(0, 90s) == 9);
 }
 
+// Guards against a plan that keeps to the bounds of an earlier configuration until the load changes.
+TEST_CASE("A change of the configured bounds is followed at once")
+{
+    auto planner = makePlanner();
+    auto deployment = makeDeployment();
+    auto totalAt = [&](Duration time) {
+        planner.adjust(deployment, near, makeServers({ 1, 5 }, { 1, 5 }), MonotonicTime(time));
+        auto sum = sumOf(planner.plan(deployment));
+        return std::pair(sum.onDemand + sum.spot, sum.spot);
+    };
+    planner.setLoad(6);
+    CHECK(totalAt(10s) == std::pair(18, 15));
+    deployment.maxServersPerDataCentre = 4;
+    CHECK(totalAt(11s) == std::pair(9, 6));
+    deployment.allowCheap = false;
+    CHECK(totalAt(12s) == std::pair(9, 0));
+    deployment.minServersPerDataCentre = 4;
+    CHECK(totalAt(13s) == std::pair(12, 0));
+}
+
 // Guards against a gap in capacity: lasting servers that go before the cheap ones serve.
 TEST_CASE("Lasting servers are given back only once the cheap ones that replace them serve")
 {
