Log grants by tier and those from guaranteed shares

Cause: the log could not tell whether a lower tier got its grants in the order of tiers or from its guaranteed share. Change: requests_waiting counts the grants of each tier since the dispatcher started, those from guaranteed shares among them, and the cost of the waiting requests.

--- a/src/daemon/ControlLoop.cpp
+++ b/src/daemon/ControlLoop.cpp
@@ -41,6 +41,18 @@
     return options;
 }
 
+// "0:12,2:5", without tiers that have none.
+template <typename Count> std::string formatByTier(const std::map<Tier, Count>& counts)
+{
+    std::string text;
+    for (const auto& [tier, count] : counts) {
+        if (count > 0) {
+            fmt::format_to(std::back_inserter(text), "{}{}:{}", text.empty() ? "" : ",", tier.level, count);
+        }
+    }
+    return text;
+}
+
 } // namespace
 
 ControlLoop::ControlLoop(asio::io_context& io, const DaemonSettings& settings, PeerService& peers, Deliver deliver)
@@ -357,12 +369,7 @@
     }
     for (const auto& [domain, dispatcher] : m_dispatchers) {
         auto summary = dispatcher.summarize();
-        std::string waiting;
-        for (const auto& [tier, count] : summary.waiting) {
-            if (count > 0) {
-                waiting += fmt::format("{}{}:{}", waiting.empty() ? "" : ",", tier.level, count);
-            }
-        }
+        auto waiting = formatByTier(summary.waiting);
         if (waiting.empty() && summary.suspects == 0) {
             continue;
         }
@@ -370,6 +377,9 @@
         LogLine(LogLevel::Info, "requests_waiting")
             .add("domain", domain.value())
             .add("by_tier", waiting)
+            .add("waiting_cost", summary.waitingCost)
+            .add("granted", formatByTier(summary.grants))
+            .add("guaranteed", formatByTier(summary.guaranteedGrants))
             .add("suspects", summary.suspects)
             .add("servers", summary.servers)
             .add("leaving", summary.leavingServers)
--- a/src/dispatch/DispatchCounters.h
+++ b/src/dispatch/DispatchCounters.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 
 #include "lagoonspoke/dispatch/Messages.h"
 
@@ -13,6 +14,8 @@
 
     std::uint64_t grants = 0;
     std::uint64_t guaranteedGrants = 0; // outside the strict priority order, from a tier's guaranteed share
+    std::map<Tier, std::uint64_t> grantsByTier;
+    std::map<Tier, std::uint64_t> guaranteedGrantsByTier;
     std::array<std::uint64_t, refusalCodes> refusals {}; // by RefusalCode
     std::uint64_t retriesRefused = 0; // included in the refusals: the retry budget was exhausted
     std::uint64_t preemptions = 0;
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -111,6 +111,10 @@
 // A dispatcher's view of its domain at one moment, for the log.
 struct DispatchSummary {
     std::map<Tier, std::size_t> waiting;
+    // Since the dispatcher started.
+    std::map<Tier, std::uint64_t> grants;
+    std::map<Tier, std::uint64_t> guaranteedGrants; // included in the grants: from the tier's guaranteed share
+    std::int64_t waitingCost = 0; // predicted tokens of the waiting requests
     std::size_t suspects = 0; // waiting for an isolated server
     int servers = 0;
     int leavingServers = 0;
--- a/src/dispatch/GrantScheduler.cpp
+++ b/src/dispatch/GrantScheduler.cpp
@@ -198,7 +198,11 @@
     m_state.shares.recordGranted(waiting->cost, now);
     m_state.shares.spend(tier, waiting->cost, guaranteed);
     ++m_state.counters.grants;
-    m_state.counters.guaranteedGrants += guaranteed ? 1 : 0;
+    ++m_state.counters.grantsByTier[tier];
+    if (guaranteed) {
+        ++m_state.counters.guaranteedGrants;
+        ++m_state.counters.guaranteedGrantsByTier[tier];
+    }
     sendGrant(m_state.grants.add(std::move(granted), now + m_state.options.grantExpiry + reportDelay));
 }
 
--- a/src/dispatch/PolicyDispatcher.cpp
+++ b/src/dispatch/PolicyDispatcher.cpp
@@ -328,7 +328,10 @@
     DispatchSummary summary;
     for (const auto& [tier, queue] : m_state.queues) {
         summary.waiting[tier] = queue.size();
+        summary.waitingCost += queue.waitingCost();
     }
+    summary.grants = m_state.counters.grantsByTier;
+    summary.guaranteedGrants = m_state.counters.guaranteedGrantsByTier;
     summary.suspects = m_state.suspects.size();
     double secondsToRead = 0;
     for (const auto& [id, state] : m_state.pool.servers()) {
