Charge a request without tokens one token

Cause: a request to a plain service has no tokens, so it cost 0 in the accounts of tiers and teams. A lower tier then always had credit for a guaranteed grant, which comes before the order of tiers; its queue always counted as covered by its guaranteed share, so that requests were refused only when they could no longer be served in time. Change: requestCost() is at least one token, for the prediction, for tokens as they arrive and for the end of a grant.

--- a/src/dispatch/Admission.cpp
+++ b/src/dispatch/Admission.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "dispatch/RequestCost.h"
+
 namespace lagoonspoke {
 
 namespace {
@@ -24,7 +26,7 @@
     waiting->gapSensitive = spec.tokenGapTarget <= m_state.options.shortestGapTarget;
     waiting->deadline = now + place.remaining;
     waiting->predictedOutput = m_state.lengths.predict(place.team, place.className, place.outputLimit).count;
-    waiting->cost = place.promptTokens.count + waiting->predictedOutput;
+    waiting->cost = requestCost(place.promptTokens, waiting->predictedOutput);
     // Predicted lengths are uncertain, so at most half of the remaining time is set aside for the service time.
     auto service = m_state.times.firstToken() + m_state.times.timePerOutputToken() * waiting->predictedOutput;
     waiting->latestStart = waiting->deadline - std::min(service, place.remaining / 2);
--- a/src/dispatch/GrantTracker.cpp
+++ b/src/dispatch/GrantTracker.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "dispatch/RequestCost.h"
+
 namespace lagoonspoke {
 
 namespace {
@@ -71,7 +73,7 @@
     granted.lastProgress = now;
     granted.outputTokens = progress.outputTokens.count;
     // Tokens beyond the prediction are charged as they arrive.
-    if (auto actual = granted.place.promptTokens.count + granted.outputTokens; actual > granted.charged) {
+    if (auto actual = requestCost(granted.place.promptTokens, granted.outputTokens); actual > granted.charged) {
         charge(granted, actual - granted.charged, now);
     }
 }
@@ -104,7 +106,7 @@
     auto prompt = progress.promptTokens.count > 0 ? progress.promptTokens : granted.place.promptTokens;
     auto output = std::max(granted.outputTokens, progress.outputTokens.count);
     auto copy = granted;
-    charge(copy, prompt.count + output - granted.charged, now);
+    charge(copy, requestCost(prompt, output) - granted.charged, now);
     if (progress.outcome == FinishOutcome::Completed) {
         m_state.lengths.record(granted.place.team, granted.place.className, Tokens { output });
         const auto* server = m_state.pool.find(granted.server);
@@ -226,7 +228,7 @@
     if (!granted) {
         return false;
     }
-    charge(*granted, granted->place.promptTokens.count + granted->outputTokens - granted->charged, now);
+    charge(*granted, requestCost(granted->place.promptTokens, granted->outputTokens) - granted->charged, now);
     release(*granted);
     return granted->revoked;
 }
--- a/src/dispatch/WaitingRequest.h
+++ b/src/dispatch/WaitingRequest.h
@@ -18,7 +18,7 @@
     MonotonicTime target; // latest first token that meets the class's latency target
     MonotonicTime deadline;
     MonotonicTime latestStart; // a later grant is expected to miss the deadline
-    std::int64_t cost = 0; // prompt and predicted output tokens
+    std::int64_t cost = 0; // see requestCost()
     std::int64_t predictedOutput = 0;
     bool late = false; // the target can no longer be met
     bool gapSensitive = false; // its class has a short target for the gap between output tokens
