Ask another peer for a newer document when the first is silent

Callers could be served by an older configuration until the next change: on an instance that does not read the store, when the peer that told it of a new number is cut off, suspended or gone before it sends the document. Cause: that peer alone was asked, every 400 ms; notices of the same number by other peers were dropped. Change: up to four peers that have the number are kept and asked in turn; those that leave the members are forgotten. Result: the new case of DocumentFollowerTest fails before (the silent peer is asked again) and passes now.

--- a/src/config/DocumentFollower.cpp
+++ b/src/config/DocumentFollower.cpp
@@ -18,7 +18,10 @@
     std::visit(Overload {
                    [&](const DocumentRead& it) { take(it.text, now); },
                    [&](const DocumentStoreReachable& it) { m_reachable = it.reachable; },
-                   [&](const DocumentPeersChanged& it) { m_peers = it.peers; },
+                   [&](const DocumentPeersChanged& it) {
+                       m_peers = it.peers;
+                       removeLostHolders();
+                   },
                    [&](const DocumentNumberHeard& it) { hearNumber(it, now); },
                    [&](const DocumentWanted& it) {
                        if (m_number > 0) {
@@ -37,10 +40,7 @@
 
 std::vector<DocumentAction> DocumentFollower::advance(MonotonicTime now)
 {
-    if (m_newer && m_newer->askAt <= now) {
-        m_actions.emplace_back(AskForDocument { m_newer->peer });
-        m_newer->askAt = now + m_options.askInterval;
-    }
+    askForNewer(now);
     if (asks() && now >= m_nextAsk) {
         askPeers(now);
     }
@@ -105,13 +105,46 @@
     if (heard.number > m_number) {
         if (!m_newer || m_newer->number < heard.number) {
             auto headStart = m_reads && m_reachable ? m_options.storeHeadStart : Duration(0);
-            m_newer = Newer { heard.from, heard.number, now + headStart };
+            m_newer = Newer { { heard.from }, heard.number, now + headStart };
+        } else if (m_newer->number == heard.number) {
+            addHolder(heard.from);
         }
     } else if (heard.replyWanted && heard.number < m_number) {
         m_actions.emplace_back(TellNumber { { heard.from }, m_number, false });
     }
 }
 
+void DocumentFollower::addHolder(const InstanceId& peer)
+{
+    auto& holders = m_newer->peers;
+    if (holders.size() < m_options.maxHolders && !std::ranges::count(holders, peer)) {
+        holders.insert(holders.begin(), peer);
+    }
+}
+
+void DocumentFollower::removeLostHolders()
+{
+    if (!m_newer) {
+        return;
+    }
+    std::erase_if(m_newer->peers, [&](const InstanceId& it) { return !std::ranges::count(m_peers, it); });
+    if (m_newer->peers.empty()) {
+        m_newer.reset();
+    }
+}
+
+// A holder that does not reply may be cut off, suspended or gone, so the next one is asked after it.
+void DocumentFollower::askForNewer(MonotonicTime now)
+{
+    if (!m_newer || m_newer->askAt > now) {
+        return;
+    }
+    auto& holders = m_newer->peers;
+    m_actions.emplace_back(AskForDocument { holders.front() });
+    std::ranges::rotate(holders, holders.begin() + 1);
+    m_newer->askAt = now + m_options.askInterval;
+}
+
 std::vector<InstanceId> DocumentFollower::pickPeers(std::size_t count)
 {
     std::vector<InstanceId> picked;
--- a/src/config/DocumentFollower.h
+++ b/src/config/DocumentFollower.h
@@ -81,6 +81,8 @@
         // Peers that are told of a new number, and that are asked while the store is away.
         std::size_t fanOut = 8;
         std::size_t askedPeers = 3;
+        // Peers with a newer number that are remembered, to ask them in turn.
+        std::size_t maxHolders = 4;
         Duration askInterval = std::chrono::milliseconds(400);
         // An instance that does not read the store asks one peer at this interval, in case it was not told.
         Duration listenerAskInterval = std::chrono::seconds(1);
@@ -98,13 +100,16 @@
 
 private:
     struct Newer {
-        InstanceId peer;
+        std::vector<InstanceId> peers; // that have it; the next one to ask first
         std::uint64_t number = 0;
         MonotonicTime askAt;
     };
 
     void take(const std::string& text, MonotonicTime now);
     void hearNumber(const DocumentNumberHeard&, MonotonicTime now);
+    void addHolder(const InstanceId&);
+    void removeLostHolders();
+    void askForNewer(MonotonicTime now);
     std::vector<InstanceId> pickPeers(std::size_t count);
     bool isAlone() const { return (m_reads && !m_reachable) || m_number == 0; }
     bool asks() const { return (isAlone() || !m_reads) && !m_peers.empty(); }
@@ -122,7 +127,7 @@
     bool m_reachable = false;
     bool m_reads = true;
     std::vector<InstanceId> m_listeners;
-    std::optional<Newer> m_newer; // a number above ours that a peer has
+    std::optional<Newer> m_newer; // a number above ours that peers have
     MonotonicTime m_nextAsk {};
 };
 
--- a/src/config/DocumentFollowerTest.cpp
+++ b/src/config/DocumentFollowerTest.cpp
@@ -98,6 +98,34 @@
     CHECK(asked->replyWanted);
 }
 
+// Guards against an instance that stays at an old number because the peer that told it of the change is gone, while others
+// have the document.
+TEST_CASE("A document is asked of another peer when the one that told of it is silent")
+{
+    const InstanceId silent("silent");
+    Kit kit;
+    kit.send(DocumentPeersChanged { { peer, silent } });
+    kit.send(DocumentRoleChanged { false, {} });
+    kit.send(DocumentReceived { peer, "5" });
+    kit.send(DocumentNumberHeard { silent, 6, false });
+    REQUIRE(kit.find<AskForDocument>());
+    CHECK(kit.find<AskForDocument>()->peer == silent);
+    kit.send(DocumentNumberHeard { peer, 6, false });
+    kit.advance(400ms);
+    REQUIRE(kit.find<AskForDocument>());
+    CHECK(kit.find<AskForDocument>()->peer == peer);
+    kit.advance(400ms);
+    REQUIRE(kit.find<AskForDocument>());
+    CHECK(kit.find<AskForDocument>()->peer == silent);
+    kit.send(DocumentPeersChanged { { peer } });
+    kit.advance(400ms);
+    REQUIRE(kit.find<AskForDocument>());
+    CHECK(kit.find<AskForDocument>()->peer == peer);
+    kit.send(DocumentReceived { peer, "6" });
+    kit.advance(400ms);
+    CHECK_FALSE(kit.find<AskForDocument>());
+}
+
 // Guards against documents that travel between peers although the store gives them to everybody.
 TEST_CASE("The store has a head start before a peer is asked")
 {
