Quarantine prompt parts that crash their servers

Callers saw one server after another end: requests of which no two are alike, but with one shared prompt part, crash each server that begins to answer them. Cause: the quarantine knows fingerprints of whole requests, so each such request began with no evidence. Change: requests name the shared parts of their prompts to the dispatcher. A server's death is evidence against the parts of the requests that it had hardly begun to answer; an answer with the part clears it. A suspect part is tested by one request at a time and quarantined after three deaths in a row; deaths at the same time count once. Parts that only died together are quarantined together, so that sound requests with a common part still run. Quarantines reach the other instances as before, and are logged.

--- a/include/lagoonspoke/dispatch/Messages.h
+++ b/include/lagoonspoke/dispatch/Messages.h
@@ -32,6 +32,8 @@
     Duration waited {}; // since the request's arrival at the entry
     int attempt = 1;
     std::vector<BackendServerId> excluded; // servers that failed this request
+    // The prompt's shared parts, each by itself; empty if the caller does not name them.
+    std::vector<Fingerprint> parts = {};
 };
 
 enum class FinishOutcome {
@@ -99,7 +101,7 @@
     TeamLimit, // the team has reached one of its limits
     QueueFull,
     DeadlineTooShort,
-    Quarantined, // the request crashed backend servers
+    Quarantined, // the request, or a part of its prompt, crashed backend servers
     NoServers, // the domain has no backend server
     NotOwner, // this instance does not run the domain's dispatcher
 };
--- a/src/config/DocumentFollowerTest.cpp
+++ b/src/config/DocumentFollowerTest.cpp
@@ -98,8 +98,8 @@
     CHECK(asked->replyWanted);
 }
 
-// Guards against an instance that stays at an old number because the peer that told it of the change is gone, while others
-// have the document.
+// Guards against an instance that stays at an old number because the peer that told it of the change is gone, while
+// others have the document.
 TEST_CASE("A document is asked of another peer when the one that told of it is silent")
 {
     const InstanceId silent("silent");
--- a/src/daemon/ControlLoop.cpp
+++ b/src/daemon/ControlLoop.cpp
@@ -287,8 +287,14 @@
                        },
                        [&](PublishFloor& it) { publishFloor(domain, it.floor); },
                        [&](PublishQuarantine& it) {
-                           m_peers.publish(makeQuarantineRumour(it.fingerprint, it.remaining, now));
-                           m_router.handle(QuarantineReceived { it.fingerprint, it.remaining }, now);
+                           LogLine(LogLevel::Warning, "quarantined")
+                               .add("domain", domain.value())
+                               .add("fingerprint", fmt::format("{:016x}", static_cast<std::uint64_t>(it.fingerprint)))
+                               .add("companions", it.companions.size())
+                               .add("remaining_ms", toMilliseconds(it.remaining));
+                           QuarantineReceived quarantine { it.fingerprint, it.remaining, std::move(it.companions) };
+                           m_peers.publish(makeQuarantineRumour(quarantine, now));
+                           m_router.handle(quarantine, now);
                        },
                    },
             action);
--- a/src/daemon/DispatchRumours.h
+++ b/src/daemon/DispatchRumours.h
@@ -11,7 +11,7 @@
 // readings of the publisher's monotonic clock.
 
 Rumour makeFloorRumour(const DomainId&, const InstanceId& from, Tier, MonotonicTime now);
-Rumour makeQuarantineRumour(Fingerprint, Duration remaining, MonotonicTime now);
+Rumour makeQuarantineRumour(const QuarantineReceived&, MonotonicTime now);
 
 // Nothing when the rumour is of another kind, damaged or too old to matter.
 std::optional<DomainFloorReceived> readFloorRumour(const Rumour&);
--- a/src/daemon/DispatchRumoursTest.cpp
+++ b/src/daemon/DispatchRumoursTest.cpp
@@ -26,15 +26,19 @@
 // Guards against a quarantine that starts again wherever it is heard.
 TEST_CASE("a quarantine's remaining time shrinks on the way")
 {
-    auto rumour = makeQuarantineRumour(Fingerprint(0xfedcba9876543210), 10min, MonotonicTime(9s));
+    auto rumour = makeQuarantineRumour(
+        { Fingerprint(0xfedcba9876543210), 10min, { Fingerprint(7), Fingerprint(8) } }, MonotonicTime(9s));
     rumour.age = 4min;
     auto heard = readQuarantineRumour(rumour);
     REQUIRE(heard);
     REQUIRE(heard->fingerprint == Fingerprint(0xfedcba9876543210));
     REQUIRE(heard->remaining == 6min);
+    REQUIRE(heard->companions == std::vector { Fingerprint(7), Fingerprint(8) });
     rumour.age = 10min;
     REQUIRE_FALSE(readQuarantineRumour(rumour));
     REQUIRE_FALSE(readQuarantineRumour({ "quarantine/xyz", 1, "5" }));
+    REQUIRE_FALSE(readQuarantineRumour({ "quarantine/ab", 1, "5,xyz" }));
+    REQUIRE_FALSE(readQuarantineRumour({ "quarantine/ab", 1, "" }));
 }
 
 // Guards against new work for a server that another instance knows to leave, while this one's list is older.
--- a/src/dispatch/Admission.cpp
+++ b/src/dispatch/Admission.cpp
@@ -53,7 +53,7 @@
 {
     auto waiting = makeWaiting(entry, dataCentre, place, now);
     m_state.shares.recordArrival(place.tier, now);
-    if (auto remaining = m_state.quarantine.remainingQuarantine(place.fingerprint, now)) {
+    if (auto remaining = m_state.remainingQuarantine(place, now)) {
         m_state.refuse(*waiting, RefusalCode::Quarantined, *remaining);
         return;
     }
@@ -63,8 +63,7 @@
 bool Admission::refuseIfInadmissible(const WaitingRequest& waiting, bool revoked, MonotonicTime now)
 {
     const auto& place = waiting.place;
-    if (auto remaining = m_state.quarantine.remainingQuarantine(place.fingerprint, now);
-        remaining && m_state.options.useQuarantine) {
+    if (auto remaining = m_state.remainingQuarantine(place, now)) {
         m_state.refuse(waiting, RefusalCode::Quarantined, *remaining);
         return true;
     }
@@ -99,9 +98,12 @@
 void Admission::enqueue(WaitingPtr waiting, MonotonicTime now)
 {
     m_state.limiter.enter(waiting->place.team);
-    if (m_state.options.useQuarantine && m_state.quarantine.isSuspect(waiting->place.fingerprint, now)) {
-        addSuspect(std::move(waiting));
-        return;
+    if (m_state.options.useQuarantine) {
+        waiting->needsIsolation = m_state.quarantine.isSuspect(waiting->place.fingerprint, now);
+        if (waiting->needsIsolation || m_state.hasSuspectPart(waiting->place, now)) {
+            addSuspect(std::move(waiting));
+            return;
+        }
     }
     auto weight = m_state.weightOf(waiting->place.team);
     auto& queue = m_state.queueOf(waiting->place.tier);
@@ -117,28 +119,73 @@
 
 void Admission::applyFingerprintState(Fingerprint fingerprint, MonotonicTime now)
 {
-    auto remaining = m_state.quarantine.remainingQuarantine(fingerprint, now);
     auto hasFingerprint = [&](const WaitingRequest& it) { return it.place.fingerprint == fingerprint; };
-    for (auto& [tier, queue] : m_state.queues) {
-        for (const auto& request : queue.requestsWhere(hasFingerprint)) {
-            if (!remaining) {
-                addSuspect(queue.remove(request));
-            } else {
-                m_state.drop(request, RefusalCode::Quarantined, *remaining);
-            }
-        }
+    if (m_state.quarantine.remainingQuarantine(fingerprint, now)) {
+        refuseQuarantined(hasFingerprint, now);
+    } else if (m_state.quarantine.isSuspect(fingerprint, now)) {
+        moveToSuspects(hasFingerprint, true);
     }
-    if (!remaining) {
-        return;
+}
+
+void Admission::applyPartState(const PartQuarantine::Parts& parts, MonotonicTime now)
+{
+    auto hasPart = [&](const WaitingRequest& it) {
+        return std::ranges::any_of(
+            parts, [&](Fingerprint part) { return std::ranges::count(it.place.parts, part) > 0; });
+    };
+    refuseQuarantined(hasPart, now);
+    moveToSuspects(
+        [&](const WaitingRequest& it) { return hasPart(it) && m_state.hasSuspectPart(it.place, now); }, false);
+    returnClearedSuspects(now);
+}
+
+void Admission::refuseQuarantined(const TierQueue::WaitingPredicate& predicate, MonotonicTime now)
+{
+    std::vector<std::pair<RequestId, Duration>> requests;
+    auto add = [&](const WaitingRequest& waiting) {
+        auto remaining = predicate(waiting) ? m_state.remainingQuarantine(waiting.place, now) : std::nullopt;
+        if (remaining) {
+            requests.emplace_back(waiting.place.request, *remaining);
+        }
+        return false;
+    };
+    for (const auto& [tier, queue] : m_state.queues) {
+        queue.requestsWhere(add);
     }
-    std::vector<RequestId> suspects;
     for (const auto& waiting : m_state.suspects) {
-        if (hasFingerprint(*waiting)) {
-            suspects.push_back(waiting->place.request);
+        add(*waiting);
+    }
+    std::ranges::sort(requests);
+    for (const auto& [request, remaining] : requests) {
+        m_state.drop(request, RefusalCode::Quarantined, remaining);
+    }
+}
+
+void Admission::moveToSuspects(const TierQueue::WaitingPredicate& predicate, bool needsIsolation)
+{
+    for (auto& [tier, queue] : m_state.queues) {
+        for (const auto& request : queue.requestsWhere(predicate)) {
+            addSuspect(queue.remove(request));
         }
     }
-    for (const auto& request : suspects) {
-        m_state.drop(request, RefusalCode::Quarantined, *remaining);
+    for (auto& waiting : m_state.suspects) {
+        if (predicate(*waiting)) {
+            waiting->needsIsolation |= needsIsolation;
+        }
+    }
+}
+
+void Admission::returnClearedSuspects(MonotonicTime now)
+{
+    auto& suspects = m_state.suspects;
+    for (auto it = suspects.begin(); it != suspects.end();) {
+        if ((*it)->needsIsolation || m_state.hasSuspectPart((*it)->place, now)) {
+            ++it;
+            continue;
+        }
+        auto weight = m_state.weightOf((*it)->place.team);
+        m_state.queueOf((*it)->place.tier).add(std::move(*it), weight);
+        it = suspects.erase(it);
     }
 }
 
--- a/src/dispatch/Admission.h
+++ b/src/dispatch/Admission.h
@@ -22,11 +22,16 @@
     WaitingPtr makeWaiting(const InstanceId&, const DataCentreId&, const PlaceRequest&, MonotonicTime now) const;
     // Refuses the waiting requests of a quarantined fingerprint; otherwise moves them from the queues to the suspects.
     void applyFingerprintState(Fingerprint, MonotonicTime now);
+    // The same for the waiting requests with one of the prompt parts; moves those back that are no longer suspect.
+    void applyPartState(const PartQuarantine::Parts&, MonotonicTime now);
 
 private:
     bool refuseIfInadmissible(const WaitingRequest&, bool revoked, MonotonicTime now);
     void enqueue(WaitingPtr, MonotonicTime now);
     void addSuspect(WaitingPtr);
+    void refuseQuarantined(const TierQueue::WaitingPredicate&, MonotonicTime now);
+    void moveToSuspects(const TierQueue::WaitingPredicate&, bool needsIsolation);
+    void returnClearedSuspects(MonotonicTime now);
 
     DispatchState& m_state;
 };
--- a/src/dispatch/DispatchState.cpp
+++ b/src/dispatch/DispatchState.cpp
@@ -17,6 +17,7 @@
     , pool(options)
     , selector(pool, options)
     , quarantine(options.quarantineTime)
+    , partQuarantine(options.quarantineTime)
     , retryBudget(options.retryBudget)
     , floors(options.floorLifetime)
 {
@@ -39,6 +40,20 @@
     return spec ? *spec : ClassSpec {};
 }
 
+std::optional<Duration> DispatchState::remainingQuarantine(const PlaceRequest& place, MonotonicTime now) const
+{
+    if (!options.useQuarantine) {
+        return std::nullopt;
+    }
+    return std::max(
+        quarantine.remainingQuarantine(place.fingerprint, now), partQuarantine.remainingQuarantine(place.parts, now));
+}
+
+bool DispatchState::hasSuspectPart(const PlaceRequest& place, MonotonicTime now) const
+{
+    return std::ranges::any_of(place.parts, [&](Fingerprint it) { return partQuarantine.isSuspect(it, now); });
+}
+
 WaitingPtr DispatchState::removeWaiting(const RequestId& request)
 {
     for (auto& [tier, queue] : queues) {
--- a/src/dispatch/DispatchState.h
+++ b/src/dispatch/DispatchState.h
@@ -12,6 +12,7 @@
 #include "dispatch/GrantTable.h"
 #include "dispatch/LengthPredictor.h"
 #include "dispatch/LoadMeter.h"
+#include "dispatch/PartQuarantine.h"
 #include "dispatch/Quarantine.h"
 #include "dispatch/ServerPool.h"
 #include "dispatch/ServerSelector.h"
@@ -33,6 +34,9 @@
     const TeamSpec* findTeam(const TeamId&) const;
     ClassSpec classOf(const PlaceRequest&) const;
     TierQueue& queueOf(Tier tier) { return queues[tier]; }
+    // Remaining time of the longest quarantine that covers the request; empty if none does.
+    std::optional<Duration> remainingQuarantine(const PlaceRequest&, MonotonicTime now) const;
+    bool hasSuspectPart(const PlaceRequest&, MonotonicTime now) const;
     bool isSettling(MonotonicTime now) const { return now < startedAt + options.settlingPeriod; }
 
     // Removes a waiting request from its tier's queue or the suspects; null if it is in neither.
@@ -57,7 +61,8 @@
     SnapshotPtr snapshot;
     MonotonicTime startedAt {};
     std::map<Tier, TierQueue> queues;
-    std::list<WaitingPtr> suspects; // ordered by tier, then by time
+    // Waiting requests that are suspected, themselves or a part of their prompt; ordered by tier, then by time.
+    std::list<WaitingPtr> suspects;
     TierShares shares;
     ServerPool pool;
     ServerSelector selector;
@@ -67,6 +72,7 @@
     LoadMeter load;
     TeamLimiter limiter;
     Quarantine quarantine;
+    PartQuarantine partQuarantine;
     DispatchRetryBudget retryBudget;
     AdmissionFloors floors;
     DispatchCounters counters;
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -57,8 +57,9 @@
 
 // Another dispatcher quarantined the fingerprint for the remaining time.
 struct QuarantineReceived {
-    Fingerprint fingerprint {};
+    Fingerprint fingerprint {}; // of a request, or of a shared part of prompts
     Duration remaining {};
+    std::vector<Fingerprint> companions = {}; // the quarantine covers only requests with these parts as well
 };
 
 // The lowest tier that another dispatcher of this domain currently admits.
@@ -87,9 +88,11 @@
     std::optional<RefusalInputs> inputs = {}; // set for refusals
 };
 
+// To be propagated to all instances; see QuarantineReceived.
 struct PublishQuarantine {
     Fingerprint fingerprint {};
     Duration remaining {};
+    std::vector<Fingerprint> companions = {};
 };
 
 // To be propagated to all instances: this dispatcher admits no tier below the floor.
--- a/src/dispatch/FallbackPlacer.cpp
+++ b/src/dispatch/FallbackPlacer.cpp
@@ -27,16 +27,21 @@
     floors[from] = { tier, now };
 }
 
-void FallbackPlacer::receiveQuarantine(Fingerprint fingerprint, MonotonicTime until)
+void FallbackPlacer::receiveQuarantine(const QuarantineReceived& received, MonotonicTime now)
 {
-    std::erase_if(m_quarantine, [&](const auto& it) { return it.second < until - std::chrono::hours(1); });
-    m_quarantine[fingerprint] = until;
+    std::erase_if(m_quarantine, [&](const auto& it) { return it.second.until <= now; });
+    m_quarantine[received.fingerprint] = { now + received.remaining, received.companions };
 }
 
-bool FallbackPlacer::isQuarantined(Fingerprint fingerprint, MonotonicTime now) const
+bool FallbackPlacer::isQuarantined(const PlaceRequest& place, MonotonicTime now) const
 {
-    auto it = m_quarantine.find(fingerprint);
-    return it != m_quarantine.end() && it->second > now;
+    auto hasPart = [&](Fingerprint part) { return std::ranges::count(place.parts, part) > 0; };
+    auto isInForce = [&](Fingerprint fingerprint) {
+        auto it = m_quarantine.find(fingerprint);
+        return it != m_quarantine.end() && it->second.until > now
+            && std::ranges::all_of(it->second.companions, hasPart);
+    };
+    return isInForce(place.fingerprint) || std::ranges::any_of(place.parts, isInForce);
 }
 
 void FallbackPlacer::addInFlight(const BackendServerId& server)
--- a/src/dispatch/FallbackPlacer.h
+++ b/src/dispatch/FallbackPlacer.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <vector>
 
+#include "dispatch/Dispatcher.h"
 #include "lagoonspoke/dispatch/BackendServer.h"
 #include "lagoonspoke/dispatch/Messages.h"
 
@@ -28,8 +29,9 @@
     // the same time.
     void setInstanceCount(std::size_t n) { m_instanceCount = std::max<std::size_t>(n, 1); }
     void receiveFloor(const DomainId&, const InstanceId& from, Tier, MonotonicTime now);
-    void receiveQuarantine(Fingerprint, MonotonicTime until);
-    bool isQuarantined(Fingerprint, MonotonicTime now) const;
+    void receiveQuarantine(const QuarantineReceived&, MonotonicTime now);
+    // Whether the request or a part of its prompt is quarantined.
+    bool isQuarantined(const PlaceRequest&, MonotonicTime now) const;
 
     // Counts every active grant of this instance, from a dispatcher or from local placement.
     void addInFlight(const BackendServerId&);
@@ -51,7 +53,11 @@
     std::size_t m_instanceCount = 1;
     std::vector<BackendServer> m_servers;
     std::map<DomainId, std::map<InstanceId, Floor>> m_floors;
-    std::map<Fingerprint, MonotonicTime> m_quarantine; // the end of each quarantine
+    struct KnownQuarantine {
+        MonotonicTime until;
+        std::vector<Fingerprint> companions; // it covers only requests with these parts as well
+    };
+    std::map<Fingerprint, KnownQuarantine> m_quarantine;
     std::map<BackendServerId, int> m_inFlight;
 };
 
--- a/src/dispatch/GrantScheduler.cpp
+++ b/src/dispatch/GrantScheduler.cpp
@@ -54,24 +54,61 @@
 
 void GrantScheduler::grantSuspects(Tier floor, MonotonicTime now)
 {
-    while (!m_state.suspects.empty() && !floor.isHigherThan(m_state.suspects.front()->place.tier)) {
-        auto* server = m_state.selector.chooseIsolated(*m_state.suspects.front(), now);
+    m_state.selector.beginSchedulerRun(fromSeconds(m_state.times.meanSlotSeconds()));
+    m_partsOnTrial = partsOnTrial(now);
+    bool waitsForIsolation = false;
+    auto& suspects = m_state.suspects;
+    for (auto it = suspects.begin(); it != suspects.end();) {
+        if (floor.isHigherThan((*it)->place.tier)) {
+            waitsForIsolation |= (*it)->needsIsolation;
+            ++it;
+            continue;
+        }
+        auto* server = chooseForSuspect(**it, waitsForIsolation, now);
         if (!server) {
-            return;
+            ++it;
+            continue;
         }
-        auto waiting = std::move(m_state.suspects.front());
-        m_state.suspects.pop_front();
-        server->isolated = server->runsSuspect = true;
+        auto waiting = std::move(*it);
+        it = suspects.erase(it);
+        std::ranges::copy(waiting->place.parts, std::back_inserter(m_partsOnTrial));
         grant(std::move(waiting), *server, false, now);
     }
-    m_isolatesServers = !m_state.suspects.empty();
-    if (m_state.suspects.empty()) {
+    m_isolatesServers = waitsForIsolation;
+    if (!waitsForIsolation) {
         for (auto& [id, server] : m_state.pool.servers()) {
             server.isolated = server.runsSuspect;
         }
     }
 }
 
+ServerState* GrantScheduler::chooseForSuspect(const WaitingRequest& waiting, bool& waitsForIsolation, MonotonicTime now)
+{
+    if (waiting.needsIsolation) {
+        auto* server = waitsForIsolation ? nullptr : m_state.selector.chooseIsolated(waiting, now);
+        waitsForIsolation = !server;
+        if (server) {
+            server->isolated = server->runsSuspect = true;
+        }
+        return server;
+    }
+    bool isOnTrial = std::ranges::any_of(waiting.place.parts, [&](Fingerprint it) {
+        return m_state.partQuarantine.isSuspect(it, now) && std::ranges::count(m_partsOnTrial, it) > 0;
+    });
+    return isOnTrial ? nullptr : m_state.selector.choose(waiting, now);
+}
+
+std::vector<Fingerprint> GrantScheduler::partsOnTrial(MonotonicTime now) const
+{
+    std::vector<Fingerprint> parts;
+    for (const auto& [request, granted] : m_state.grants.all()) {
+        if (!granted.isAnswered(now) && m_state.hasSuspectPart(granted.place, now)) {
+            std::ranges::copy(granted.place.parts, std::back_inserter(parts));
+        }
+    }
+    return parts;
+}
+
 bool GrantScheduler::grantGuaranteed(Tier floor, MonotonicTime now)
 {
     for (auto& [tier, queue] : m_state.queues) {
--- a/src/dispatch/GrantScheduler.h
+++ b/src/dispatch/GrantScheduler.h
@@ -21,6 +21,11 @@
 
 private:
     void grantSuspects(Tier floor, MonotonicTime now);
+    // The server for a suspect request, or null when it has to wait.
+    ServerState* chooseForSuspect(const WaitingRequest&, bool& waitsForIsolation, MonotonicTime now);
+    // Suspect parts of granted requests that are not answered yet. One request at a time shows whether a part crashes
+    // its server.
+    std::vector<Fingerprint> partsOnTrial(MonotonicTime now) const;
     bool grantGuaranteed(Tier floor, MonotonicTime now);
     bool grantByTier(Tier floor, MonotonicTime now);
     int reservedSlots(Tier, MonotonicTime now);
@@ -34,6 +39,7 @@
     int m_totalSlots = 0;
     int m_freeSlots = 0;
     bool m_isolatesServers = false; // servers may be isolated for suspect requests
+    std::vector<Fingerprint> m_partsOnTrial; // in the current run
 };
 
 } // namespace lagoonspoke
--- a/src/dispatch/GrantTracker.cpp
+++ b/src/dispatch/GrantTracker.cpp
@@ -44,6 +44,7 @@
         // The grant expired because its first report was late, but it is in use.
         granted.holdsSlot = true;
         granted.firstByteSeen = true;
+        granted.firstByteAt = now;
         if (server) {
             ++server->inFlight;
             server->gapSensitive += granted.gapSensitive ? 1 : 0;
@@ -51,6 +52,7 @@
     }
     if (progress.firstByteSeen && !granted.firstByteSeen) {
         granted.firstByteSeen = true;
+        granted.firstByteAt = now;
         m_state.times.recordFirstToken(progress.timeToFirstByte);
         if (server) {
             server->recordFirstByte(
@@ -124,6 +126,7 @@
     switch (outcome) {
     case FinishOutcome::Completed:
         m_state.quarantine.recordFinished(granted.place.fingerprint);
+        recordPartsAnswered(granted, now);
         if (server) {
             m_state.pool.recordSuccess(*server);
         }
@@ -162,7 +165,13 @@
         m_state.pool.recordFailure(server, true, now);
     }
     // A server that is leaving, or whose eviction was announced, aborts its requests itself: they are not at fault.
-    if (!m_state.options.useQuarantine || granted.place.fingerprint == Fingerprint {} || server.server.leaving) {
+    if (!m_state.options.useQuarantine || server.server.leaving) {
+        return;
+    }
+    if (!granted.isAnswered(now)) {
+        recordPartsOfDead(granted, now);
+    }
+    if (granted.place.fingerprint == Fingerprint {}) {
         return;
     }
     auto fingerprint = granted.place.fingerprint;
@@ -177,6 +186,48 @@
     m_admission.applyFingerprintState(fingerprint, now);
 }
 
+void GrantTracker::recordPartsOfDead(const GrantedRequest& granted, MonotonicTime now)
+{
+    const auto& parts = granted.place.parts;
+    for (auto part : m_state.partQuarantine.recordDeath(parts, granted.grantedAt, now)) {
+        ++m_state.counters.quarantined;
+        publishPartQuarantine(part);
+    }
+    m_admission.applyPartState(parts, now);
+}
+
+void GrantTracker::recordPartsAnswered(const GrantedRequest& granted, MonotonicTime now)
+{
+    auto changed = m_state.partQuarantine.recordAnswered(granted.place.parts, granted.firstByteAt, now);
+    if (changed.empty()) {
+        return;
+    }
+    for (auto part : changed) {
+        if (m_state.partQuarantine.remainingQuarantine({ part }, now)) {
+            publishPartQuarantine(part);
+        }
+    }
+    m_admission.applyPartState(changed, now);
+}
+
+void GrantTracker::publishPartQuarantine(Fingerprint part)
+{
+    m_state.actions.emplace_back(
+        PublishQuarantine { part, m_state.options.quarantineTime, m_state.partQuarantine.companionsOf(part) });
+}
+
+void GrantTracker::clearAnsweredParts(MonotonicTime now)
+{
+    if (!m_state.partQuarantine.hasSuspects(now)) {
+        return;
+    }
+    for (const auto& [request, granted] : m_state.grants.all()) {
+        if (granted.isAnswered(now)) {
+            recordPartsAnswered(granted, now);
+        }
+    }
+}
+
 void GrantTracker::release(const GrantedRequest& granted)
 {
     m_state.freeSlot(granted);
@@ -209,6 +260,7 @@
     granted.started = true;
     // The time of the first byte is unknown, so it must not enter the server's measurements.
     granted.firstByteSeen = true;
+    granted.firstByteAt = now;
     m_state.limiter.enter(held.request.team);
     m_state.shares.recordArrival(held.request.tier, now);
     if (auto* server = m_state.pool.find(held.server)) {
--- a/src/dispatch/GrantTracker.h
+++ b/src/dispatch/GrantTracker.h
@@ -22,6 +22,8 @@
     bool endWithoutOutcome(const RequestId&, MonotonicTime now);
     // Frees the slots of grants that were not used in time.
     void expire(MonotonicTime now);
+    // Clears the suspect prompt parts of requests whose answers have begun for long enough.
+    void clearAnsweredParts(MonotonicTime now);
     // Revokes unstarted grants on servers that are leaving or gone.
     void revokeOnLeavingServers();
     // Recomputes the slots in use from the grants after the list of servers changed.
@@ -37,6 +39,9 @@
     void settleCharge(const GrantedRequest&, const Progress&, MonotonicTime now);
     void recordOutcome(const GrantedRequest&, FinishOutcome, MonotonicTime now);
     void recordDeath(const GrantedRequest&, ServerState&, MonotonicTime now);
+    void recordPartsOfDead(const GrantedRequest&, MonotonicTime now);
+    void recordPartsAnswered(const GrantedRequest&, MonotonicTime now);
+    void publishPartQuarantine(Fingerprint part);
     void charge(GrantedRequest&, std::int64_t tokens, MonotonicTime now);
     void release(const GrantedRequest&);
 
--- a/src/dispatch/PlacementRouter.cpp
+++ b/src/dispatch/PlacementRouter.cpp
@@ -39,30 +39,29 @@
 
 std::vector<RouterAction> PlacementRouter::handle(const RouterEvent& event, MonotonicTime now)
 {
-    std::visit(
-        Overload {
-            [&](const ThreadMessage& it) { handleThreadMessage(it, now); },
-            [&](const PeerMessage& it) { handlePeerMessage(it, now); },
-            [&](const DispatcherOutput& it) {
-                if (it.send.entry == m_options.self) {
-                    handleDispatcherMessage(m_options.self, it.domain, it.send.message, now);
-                } else {
-                    auto message
-                        = std::visit([](const auto& content) { return PlacementMessage(content); }, it.send.message);
-                    m_actions.emplace_back(SendToPeer { it.send.entry, { it.domain, std::move(message) } });
-                }
-            },
-            [&](const MembersUpdated& it) { handleMembersUpdated(it.members, now); },
-            [&](const ServersChanged& it) { m_fallback.setServers(it.servers); },
-            [&](const PeerLost& it) { handlePeerLost(it.peer, now); },
-            [&](const DomainFloorReceived& it) {
-                m_fallback.receiveFloor(it.domain, it.floor.from, it.floor.floor, now);
-                if (owns(it.domain)) {
-                    m_actions.emplace_back(SendToDispatcher { it.domain, it.floor });
-                }
-            },
-            [&](const QuarantineReceived& it) { m_fallback.receiveQuarantine(it.fingerprint, now + it.remaining); },
-        },
+    std::visit(Overload {
+                   [&](const ThreadMessage& it) { handleThreadMessage(it, now); },
+                   [&](const PeerMessage& it) { handlePeerMessage(it, now); },
+                   [&](const DispatcherOutput& it) {
+                       if (it.send.entry == m_options.self) {
+                           handleDispatcherMessage(m_options.self, it.domain, it.send.message, now);
+                       } else {
+                           auto message = std::visit(
+                               [](const auto& content) { return PlacementMessage(content); }, it.send.message);
+                           m_actions.emplace_back(SendToPeer { it.send.entry, { it.domain, std::move(message) } });
+                       }
+                   },
+                   [&](const MembersUpdated& it) { handleMembersUpdated(it.members, now); },
+                   [&](const ServersChanged& it) { m_fallback.setServers(it.servers); },
+                   [&](const PeerLost& it) { handlePeerLost(it.peer, now); },
+                   [&](const DomainFloorReceived& it) {
+                       m_fallback.receiveFloor(it.domain, it.floor.from, it.floor.floor, now);
+                       if (owns(it.domain)) {
+                           m_actions.emplace_back(SendToDispatcher { it.domain, it.floor });
+                       }
+                   },
+                   [&](const QuarantineReceived& it) { m_fallback.receiveQuarantine(it, now); },
+               },
         event);
     return std::exchange(m_actions, {});
 }
--- a/src/dispatch/PlacementRouterRequests.cpp
+++ b/src/dispatch/PlacementRouterRequests.cpp
@@ -203,7 +203,7 @@
     const auto id = request.place.request;
     auto& domain = domainOf(request.place.domain);
     domain.unresponsive = domain.owner.has_value();
-    if (m_fallback.isQuarantined(request.place.fingerprint, now)) {
+    if (m_fallback.isQuarantined(request.place, now)) {
         m_actions.emplace_back(DeliverToThread { request.thread, Refusal { id, RefusalCode::Quarantined, {} } });
         erase(id);
         return;
--- a/src/dispatch/PlacementRouterTest.cpp
+++ b/src/dispatch/PlacementRouterTest.cpp
@@ -183,6 +183,27 @@
     REQUIRE(deliveredMessages<Grant>(entry.router->advance(start + 3100ms)).size() == 1);
 }
 
+// Guards against an instance that crashes servers with a quarantined prompt part while no dispatcher responds.
+TEST_CASE("local placement refuses a quarantined prompt part")
+{
+    constexpr Fingerprint part { 7 };
+    constexpr Fingerprint companion { 8 };
+    EntryFixture entry;
+    entry.router->handle(QuarantineReceived { part, 10s, { companion } }, start);
+    auto covered = makePlace("covered");
+    covered.parts = { companion, part };
+    entry.place(covered);
+    auto other = makePlace("other");
+    other.parts = { part };
+    entry.place(other);
+    auto actions = entry.router->advance(start + 1s);
+    auto refusals = deliveredMessages<Refusal>(actions);
+    REQUIRE(refusals.size() == 1);
+    CHECK(refusals[0].request == RequestId("covered"));
+    CHECK(refusals[0].code == RefusalCode::Quarantined);
+    CHECK(deliveredMessages<Grant>(actions).size() == 1);
+}
+
 // Guards against requests that neither instance dispatches because each takes the other for the owner.
 TEST_CASE("an instance that does not own the domain refuses with NotOwner")
 {
--- a/src/dispatch/PolicyDispatcher.cpp
+++ b/src/dispatch/PolicyDispatcher.cpp
@@ -71,6 +71,9 @@
             [&](const QuarantineReceived& peerQuarantine) {
                 m_state.quarantine.receive(peerQuarantine.fingerprint, peerQuarantine.remaining, now);
                 m_admission.applyFingerprintState(peerQuarantine.fingerprint, now);
+                m_state.partQuarantine.receive(
+                    peerQuarantine.fingerprint, peerQuarantine.companions, peerQuarantine.remaining, now);
+                m_admission.applyPartState({ peerQuarantine.fingerprint }, now);
             },
             [&](const FloorReceived& peerFloor) { m_state.floors.receive(peerFloor.from, peerFloor.floor, now); },
         },
@@ -84,6 +87,7 @@
     if (now >= m_lastRateUpdate + rateUpdateInterval) {
         m_state.pool.updateRates();
         m_lastRateUpdate = now;
+        m_tracker.clearAnsweredParts(now);
     }
     m_tracker.expire(now);
     m_shedder.dropExpired(now);
--- a/src/dispatch/WaitingRequest.h
+++ b/src/dispatch/WaitingRequest.h
@@ -21,6 +21,7 @@
     std::int64_t cost = 0; // see requestCost()
     std::int64_t predictedOutput = 0;
     bool late = false; // the target can no longer be met
+    bool needsIsolation = false; // suspected to crash servers itself, so it runs on a server of its own
     bool gapSensitive = false; // its class has a short target for the gap between output tokens
     mutable std::uint64_t promisedRun = 0; // the scheduler run in which its prompt was last counted for a busy server
     mutable const ServerState* promisedServer = nullptr; // that server; valid only in that run
--- a/src/entry/RequestAdmission.h
+++ b/src/entry/RequestAdmission.h
@@ -57,6 +57,8 @@
     std::vector<PrefixBlock> prefix;
     // Tokens of each part of the prefix; empty when all blocks are of one size.
     std::vector<Tokens> prefixTokens;
+    // The shared parts of the prompt, each by itself; empty when the caller does not name them.
+    std::vector<Fingerprint> parts = {};
 };
 
 // The bearer token, or an empty text. Several Authorization headers are ambiguous and give nothing.
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -292,6 +292,7 @@
     place.outputLimit = m_request.outputLimit;
     place.prefix = m_request.prefix;
     place.prefixTokens = m_request.prefixTokens;
+    place.parts = m_request.parts;
     place.idempotent = m_request.idempotent;
     place.fingerprint = m_fingerprint;
     place.remaining = remaining();
--- a/src/wire/PlacementCodec.cpp
+++ b/src/wire/PlacementCodec.cpp
@@ -16,14 +16,15 @@
 
 using Builder = flatbuffers::FlatBufferBuilder;
 
-auto writeBlocks(Builder& builder, const std::vector<PrefixBlock>& prefix)
+// A vector of prefix blocks or fingerprints.
+template <typename Hash> auto writeHashes(Builder& builder, const std::vector<Hash>& hashes)
 {
-    std::vector<std::uint64_t> blocks;
-    blocks.reserve(prefix.size());
-    for (auto block : prefix) {
-        blocks.push_back(static_cast<std::uint64_t>(block));
+    std::vector<std::uint64_t> numbers;
+    numbers.reserve(hashes.size());
+    for (auto hash : hashes) {
+        numbers.push_back(static_cast<std::uint64_t>(hash));
     }
-    return builder.CreateVector(blocks);
+    return builder.CreateVector(numbers);
 }
 
 auto writeTokens(Builder& builder, const std::vector<Tokens>& tokens)
@@ -36,13 +37,13 @@
     return builder.CreateVector(counts);
 }
 
-std::vector<PrefixBlock> readBlocks(const flatbuffers::Vector<std::uint64_t>* vector)
+template <typename Hash> std::vector<Hash> readHashes(const flatbuffers::Vector<std::uint64_t>* vector)
 {
-    std::vector<PrefixBlock> blocks;
+    std::vector<Hash> hashes;
     for (std::size_t i = 0; vector && i < vector->size(); ++i) {
-        blocks.push_back(PrefixBlock(vector->Get(static_cast<flatbuffers::uoffset_t>(i))));
+        hashes.push_back(Hash(vector->Get(static_cast<flatbuffers::uoffset_t>(i))));
     }
-    return blocks;
+    return hashes;
 }
 
 std::vector<Tokens> readTokens(const flatbuffers::Vector<std::int64_t>* vector)
@@ -64,12 +65,13 @@
     auto domain = writeText(builder, it.domain.value());
     auto team = writeText(builder, it.team.value());
     auto className = writeText(builder, it.className.value());
-    auto prefix = writeBlocks(builder, it.prefix);
+    auto prefix = writeHashes(builder, it.prefix);
     auto excluded = builder.CreateVector(servers);
     auto prefixTokens = writeTokens(builder, it.prefixTokens);
+    auto parts = writeHashes(builder, it.parts);
     return wire::CreatePlaceRequest(builder, request, domain, team, className, it.tier.level, it.promptTokens.count,
         it.outputLimit.count, prefix, it.idempotent, static_cast<std::uint64_t>(it.fingerprint), it.remaining.count(),
-        it.waited.count(), it.attempt, excluded, prefixTokens);
+        it.waited.count(), it.attempt, excluded, prefixTokens, parts);
 }
 
 flatbuffers::Offset<wire::Progress> write(Builder& builder, const Progress& it)
@@ -103,7 +105,7 @@
     std::vector<flatbuffers::Offset<wire::ReadPart>> parts;
     for (const auto& part : it.parts) {
         auto server = writeText(builder, part.server.value());
-        auto prefix = writeBlocks(builder, part.prefix);
+        auto prefix = writeHashes(builder, part.prefix);
         auto tokens = writeTokens(builder, part.prefixTokens);
         parts.push_back(wire::CreateReadPart(builder, server, prefix, tokens, part.age.count()));
     }
@@ -151,10 +153,11 @@
     place.tier = { it.tier() };
     place.promptTokens = { it.prompt_tokens() };
     place.outputLimit = { it.output_limit() };
-    place.prefix = readBlocks(it.prefix());
+    place.prefix = readHashes<PrefixBlock>(it.prefix());
     place.prefixTokens = readTokens(it.prefix_tokens());
     place.idempotent = it.idempotent();
     place.fingerprint = Fingerprint(it.fingerprint());
+    place.parts = readHashes<Fingerprint>(it.parts());
     place.remaining = readDuration(it.remaining_ns());
     place.waited = readDuration(it.waited_ns());
     place.attempt = it.attempt();
@@ -182,7 +185,7 @@
     }
     for (std::size_t i = 0; it.parts() && i < it.parts()->size(); ++i) {
         const auto* part = it.parts()->Get(static_cast<flatbuffers::uoffset_t>(i));
-        resync.parts.push_back({ BackendServerId(toText(part->server())), readBlocks(part->prefix()),
+        resync.parts.push_back({ BackendServerId(toText(part->server())), readHashes<PrefixBlock>(part->prefix()),
             readTokens(part->prefix_tokens()), readDuration(part->age_ns()) });
     }
     return resync;
--- a/src/wire/WireTest.cpp
+++ b/src/wire/WireTest.cpp
@@ -34,6 +34,7 @@
     place.waited = 12ms;
     place.attempt = 2;
     place.excluded = { BackendServerId("s1"), BackendServerId("s2") };
+    place.parts = { Fingerprint(7), Fingerprint(~0ull) };
     return place;
 }
 
@@ -103,6 +104,7 @@
     REQUIRE(place.attempt == 2);
     REQUIRE(place.prefix[1] == PrefixBlock(~0ull));
     REQUIRE(place.excluded[1] == BackendServerId("s2"));
+    REQUIRE(place.parts == std::vector { Fingerprint(7), Fingerprint(~0ull) });
     auto progress = std::get<Progress>(decodePlacementPacket(encodePlacementPacket(makePackets()[1]))->message);
     REQUIRE(progress.outcome == FinishOutcome::ServerDied);
     REQUIRE(progress.outputTokens.count == 6);
--- a/src/wire/placement_generated.h
+++ b/src/wire/placement_generated.h
@@ -157,7 +157,8 @@
     VT_WAITED_NS = 26,
     VT_ATTEMPT = 28,
     VT_EXCLUDED = 30,
-    VT_PREFIX_TOKENS = 32
+    VT_PREFIX_TOKENS = 32,
+    VT_PARTS = 34
   };
   const flatbuffers::String *request() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST);
@@ -204,6 +205,9 @@
   const flatbuffers::Vector<int64_t> *prefix_tokens() const {
     return GetPointer<const flatbuffers::Vector<int64_t> *>(VT_PREFIX_TOKENS);
   }
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST) &&
@@ -229,6 +233,8 @@
            verifier.VerifyVectorOfStrings(excluded()) &&
            VerifyOffset(verifier, VT_PREFIX_TOKENS) &&
            verifier.VerifyVector(prefix_tokens()) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
            verifier.EndTable();
   }
 };
@@ -282,6 +288,9 @@
   void add_prefix_tokens(flatbuffers::Offset<flatbuffers::Vector<int64_t>> prefix_tokens) {
     fbb_.AddOffset(PlaceRequest::VT_PREFIX_TOKENS, prefix_tokens);
   }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(PlaceRequest::VT_PARTS, parts);
+  }
   explicit PlaceRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -309,13 +318,15 @@
     int64_t waited_ns = 0,
     int32_t attempt = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
-    flatbuffers::Offset<flatbuffers::Vector<int64_t>> prefix_tokens = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<int64_t>> prefix_tokens = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
   PlaceRequestBuilder builder_(_fbb);
   builder_.add_waited_ns(waited_ns);
   builder_.add_remaining_ns(remaining_ns);
   builder_.add_fingerprint(fingerprint);
   builder_.add_output_limit(output_limit);
   builder_.add_prompt_tokens(prompt_tokens);
+  builder_.add_parts(parts);
   builder_.add_prefix_tokens(prefix_tokens);
   builder_.add_excluded(excluded);
   builder_.add_attempt(attempt);
@@ -345,7 +356,8 @@
     int64_t waited_ns = 0,
     int32_t attempt = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
-    const std::vector<int64_t> *prefix_tokens = nullptr) {
+    const std::vector<int64_t> *prefix_tokens = nullptr,
+    const std::vector<uint64_t> *parts = nullptr) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto team__ = team ? _fbb.CreateString(team) : 0;
@@ -353,6 +365,7 @@
   auto prefix__ = prefix ? _fbb.CreateVector<uint64_t>(*prefix) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
   auto prefix_tokens__ = prefix_tokens ? _fbb.CreateVector<int64_t>(*prefix_tokens) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
   return lagoonspoke::wire::CreatePlaceRequest(
       _fbb,
       request__,
@@ -369,7 +382,8 @@
       waited_ns,
       attempt,
       excluded__,
-      prefix_tokens__);
+      prefix_tokens__,
+      parts__);
 }
 
 struct Progress FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
