Tell a new dispatcher of the quarantines in force

Callers could see servers end again after a dispatcher moved: it started without the quarantines of the earlier one. Cause: an instance passed quarantines on to its dispatchers when it heard of them, and kept them for placements of its own, but told a dispatcher that started later nothing. Change: the router gives the quarantines in force; a new dispatcher gets them with the configuration and the servers. Found in the code; the new case of PlacementRouterTest covers the router's part.

--- a/src/daemon/ControlLoop.cpp
+++ b/src/daemon/ControlLoop.cpp
@@ -196,6 +196,9 @@
             execute(domain, it->second.handle(ConfigurationChanged { m_snapshot }, now));
         }
         execute(domain, it->second.handle(ServersChanged { serversOf(domain) }, now));
+        for (const auto& quarantine : m_router.quarantines(now)) {
+            execute(domain, it->second.handle(quarantine, now));
+        }
     }
     return it->second;
 }
--- a/src/dispatch/FallbackPlacer.cpp
+++ b/src/dispatch/FallbackPlacer.cpp
@@ -33,6 +33,17 @@
     m_quarantine[received.fingerprint] = { now + received.remaining, received.companions };
 }
 
+std::vector<QuarantineReceived> FallbackPlacer::quarantines(MonotonicTime now) const
+{
+    std::vector<QuarantineReceived> quarantines;
+    for (const auto& [fingerprint, known] : m_quarantine) {
+        if (known.until > now) {
+            quarantines.push_back({ fingerprint, known.until - now, known.companions });
+        }
+    }
+    return quarantines;
+}
+
 bool FallbackPlacer::isQuarantined(const PlaceRequest& place, MonotonicTime now) const
 {
     auto hasPart = [&](Fingerprint part) { return std::ranges::count(place.parts, part) > 0; };
--- a/src/dispatch/FallbackPlacer.h
+++ b/src/dispatch/FallbackPlacer.h
@@ -30,6 +30,8 @@
     void setInstanceCount(std::size_t n) { m_instanceCount = std::max<std::size_t>(n, 1); }
     void receiveFloor(const DomainId&, const InstanceId& from, Tier, MonotonicTime now);
     void receiveQuarantine(const QuarantineReceived&, MonotonicTime now);
+    // The quarantines in force, of all dispatchers.
+    std::vector<QuarantineReceived> quarantines(MonotonicTime now) const;
     // Whether the request or a part of its prompt is quarantined.
     bool isQuarantined(const PlaceRequest&, MonotonicTime now) const;
 
--- a/src/dispatch/PlacementRouter.h
+++ b/src/dispatch/PlacementRouter.h
@@ -96,6 +96,8 @@
     std::optional<MonotonicTime> nextWakeup() const;
 
     bool owns(const DomainId&) const;
+    // The quarantines in force, which a new dispatcher has to know.
+    std::vector<QuarantineReceived> quarantines(MonotonicTime now) const { return m_fallback.quarantines(now); }
     std::size_t requestCount() const { return m_requests.size(); }
 
 private:
--- a/src/dispatch/PlacementRouterTest.cpp
+++ b/src/dispatch/PlacementRouterTest.cpp
@@ -204,6 +204,19 @@
     CHECK(deliveredMessages<Grant>(actions).size() == 1);
 }
 
+// Guards against a new dispatcher that runs requests that an earlier one has quarantined.
+TEST_CASE("the quarantines of other dispatchers are kept for a new one until they end")
+{
+    EntryFixture entry;
+    entry.router->handle(QuarantineReceived { Fingerprint { 7 }, 10s, { Fingerprint { 8 } } }, start);
+    entry.router->handle(QuarantineReceived { Fingerprint { 9 }, 2s }, start);
+    auto known = entry.router->quarantines(start + 3s);
+    REQUIRE(known.size() == 1);
+    CHECK(known[0].fingerprint == Fingerprint { 7 });
+    CHECK(known[0].remaining == 7s);
+    CHECK(known[0].companions == std::vector { Fingerprint { 8 } });
+}
+
 // Guards against requests that neither instance dispatches because each takes the other for the owner.
 TEST_CASE("an instance that does not own the domain refuses with NotOwner")
 {
