Weigh deaths by how clearly they point to a prompt part

Callers could see eight servers end before a part was quarantined: three deaths in a row took long while each waited in an engine, a takeover forgot the evidence, and requests taken over were soon counted as answered, which cleared the part. Cause: every death counted the same, although in nearly all of them exactly one request had no token yet; a restored grant looked like one whose answer had begun; and one further death of a part beside the deadly one condemned it by itself. Change: the death of the only unanswered request of a server counts twice. Parts that were quarantined together need the same evidence each by itself before one is condemned alone. An answer counts from its first reported token, also after a takeover. Evidence: PartQuarantineTest; DeadlyPartTest's takeover case fails before (the third request is granted while the second is on trial).

--- a/src/dispatch/DeadlyPartTest.cpp
+++ b/src/dispatch/DeadlyPartTest.cpp
@@ -191,12 +191,12 @@
 TEST_CASE("a prompt part that only died beside a deadly one is not refused by itself")
 {
     DeadlyPartReplay replay;
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 0; i < 2; ++i) {
         replay.placeDeadly();
         replay.advance(1s);
     }
     replay.placeDeadly();
-    REQUIRE(replay.deadlyGranted() == 3);
+    REQUIRE(replay.deadlyGranted() == 2);
     REQUIRE(replay.fixture().refusals.size() == 1);
     replay.placeSound();
     replay.advance(2s);
@@ -214,7 +214,7 @@
     DispatchOptions options;
     DeadlyPartReplay replay;
     replay.placeSound();
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 0; i < 2; ++i) {
         replay.placeDeadly();
         replay.advance(1s);
         replay.placeSound();
@@ -223,11 +223,46 @@
     REQUIRE(replay.fixture().quarantines == std::vector { deadlyPart });
     replay.advance(options.quarantineTime);
     replay.placeDeadly();
-    REQUIRE(replay.deadlyGranted() == 4);
+    REQUIRE(replay.deadlyGranted() == 3);
     replay.advance(1s);
     CHECK(replay.fixture().quarantines == std::vector { deadlyPart, deadlyPart });
     replay.placeDeadly();
-    CHECK(replay.deadlyGranted() == 4);
+    CHECK(replay.deadlyGranted() == 3);
+}
+
+// Guards against a takeover that takes requests for answered of which nothing is known, and so clears a deadly part.
+TEST_CASE("a request that a new dispatcher takes over is evidence until its answer begins")
+{
+    DispatcherFixture fixture(4, 4);
+    Resync resync;
+    resync.entry = InstanceId("e1");
+    for (int i = 0; i < 2; ++i) {
+        auto place = DispatcherFixture::makePlace("held" + std::to_string(i));
+        place.parts = { deadlyPart };
+        resync.held.push_back(
+            { place, GrantId { 5 + static_cast<std::uint64_t>(i) }, BackendServerId("s" + std::to_string(i)), {} });
+    }
+    fixture.sendFromEntry(resync);
+    fixture.advance(1s);
+    auto end = [&](int i) {
+        Progress progress;
+        progress.request = RequestId("held" + std::to_string(i));
+        progress.grant = GrantId { 5 + static_cast<std::uint64_t>(i) };
+        progress.finished = true;
+        progress.outcome = FinishOutcome::ServerDied;
+        fixture.sendFromEntry(progress);
+    };
+    end(0);
+    // The other one is on trial, so a third request with the part waits for its outcome.
+    auto third = DispatcherFixture::makePlace("third");
+    third.parts = { deadlyPart };
+    fixture.sendFromEntry(third);
+    fixture.advance(1s);
+    CHECK_FALSE(fixture.grants.contains("third"));
+    end(1);
+    CHECK(fixture.grants.contains("third"));
+    fixture.finish("third", FinishOutcome::ServerDied);
+    CHECK(fixture.quarantines == std::vector { deadlyPart });
 }
 
 // Guards against a dispatcher that crashes servers again with a part that another dispatcher has quarantined.
--- a/src/dispatch/GrantTable.h
+++ b/src/dispatch/GrantTable.h
@@ -27,7 +27,7 @@
     int inFlightAtGrant = 0; // requests on the server just before this grant
     bool started = false;
     bool firstByteSeen = false;
-    MonotonicTime firstByteAt; // valid once firstByteSeen
+    std::optional<MonotonicTime> answerBeganAt; // when its first token was reported
     bool gapSensitive = false; // its class has a short token gap target
     bool guaranteed = false; // granted from the tier's guaranteed share, so never preempted
     bool runsIsolated = false; // runs as a suspect on a server of its own
@@ -38,7 +38,7 @@
     // A prompt that crashes its server does so within this time of the first token.
     static constexpr Duration crashWindow = std::chrono::milliseconds(300);
     // Whether the answer has gone on for longer than a crash takes.
-    bool isAnswered(MonotonicTime now) const { return firstByteSeen && now >= firstByteAt + crashWindow; }
+    bool isAnswered(MonotonicTime now) const { return answerBeganAt && now >= *answerBeganAt + crashWindow; }
 };
 
 // The grants of a domain by request. Owned by a dispatcher.
--- a/src/dispatch/GrantTracker.cpp
+++ b/src/dispatch/GrantTracker.cpp
@@ -39,12 +39,14 @@
 void GrantTracker::observe(GrantedRequest& granted, const Progress& progress, MonotonicTime now)
 {
     m_state.grants.markStarted(granted);
+    if (!granted.answerBeganAt && (progress.firstByteSeen || progress.outputTokens.count > 0)) {
+        granted.answerBeganAt = now;
+    }
     auto* server = m_state.pool.find(granted.server);
     if (!granted.holdsSlot && !progress.finished) {
         // The grant expired because its first report was late, but it is in use.
         granted.holdsSlot = true;
         granted.firstByteSeen = true;
-        granted.firstByteAt = now;
         if (server) {
             ++server->inFlight;
             server->gapSensitive += granted.gapSensitive ? 1 : 0;
@@ -52,7 +54,6 @@
     }
     if (progress.firstByteSeen && !granted.firstByteSeen) {
         granted.firstByteSeen = true;
-        granted.firstByteAt = now;
         m_state.times.recordFirstToken(progress.timeToFirstByte);
         if (server) {
             server->recordFirstByte(
@@ -160,6 +161,13 @@
     if (newDeath) {
         server.diedAt = now;
         server.runningAtDeath = server.inFlight;
+        server.unansweredAtDeath
+            = static_cast<int>(m_state.grants
+                                   .requestsWhere([&](const GrantedRequest& it) {
+                                       return it.server == granted.server && it.holdsSlot && !it.answerBeganAt;
+                                   })
+                                   .size());
+        server.unansweredAtDeath += granted.answerBeganAt ? 0 : 1;
         server.prefix = {};
         server.cache.clear();
         m_state.pool.recordFailure(server, true, now);
@@ -169,7 +177,7 @@
         return;
     }
     if (!granted.isAnswered(now)) {
-        recordPartsOfDead(granted, now);
+        recordPartsOfDead(granted, server, now);
     }
     if (granted.place.fingerprint == Fingerprint {}) {
         return;
@@ -186,10 +194,11 @@
     m_admission.applyFingerprintState(fingerprint, now);
 }
 
-void GrantTracker::recordPartsOfDead(const GrantedRequest& granted, MonotonicTime now)
+void GrantTracker::recordPartsOfDead(const GrantedRequest& granted, const ServerState& server, MonotonicTime now)
 {
     const auto& parts = granted.place.parts;
-    for (auto part : m_state.partQuarantine.recordDeath(parts, granted.grantedAt, now)) {
+    bool isSole = !granted.answerBeganAt && server.unansweredAtDeath <= 1;
+    for (auto part : m_state.partQuarantine.recordDeath({ parts, granted.grantedAt, isSole }, now)) {
         ++m_state.counters.quarantined;
         publishPartQuarantine(part);
     }
@@ -198,7 +207,7 @@
 
 void GrantTracker::recordPartsAnswered(const GrantedRequest& granted, MonotonicTime now)
 {
-    auto changed = m_state.partQuarantine.recordAnswered(granted.place.parts, granted.firstByteAt, now);
+    auto changed = m_state.partQuarantine.recordAnswered(granted.place.parts, granted.answerBeganAt.value_or(now), now);
     if (changed.empty()) {
         return;
     }
@@ -260,7 +269,9 @@
     granted.started = true;
     // The time of the first byte is unknown, so it must not enter the server's measurements.
     granted.firstByteSeen = true;
-    granted.firstByteAt = now;
+    if (held.outputTokens.count > 0) {
+        granted.answerBeganAt = now;
+    }
     m_state.limiter.enter(held.request.team);
     m_state.shares.recordArrival(held.request.tier, now);
     if (auto* server = m_state.pool.find(held.server)) {
--- a/src/dispatch/GrantTracker.h
+++ b/src/dispatch/GrantTracker.h
@@ -39,7 +39,7 @@
     void settleCharge(const GrantedRequest&, const Progress&, MonotonicTime now);
     void recordOutcome(const GrantedRequest&, FinishOutcome, MonotonicTime now);
     void recordDeath(const GrantedRequest&, ServerState&, MonotonicTime now);
-    void recordPartsOfDead(const GrantedRequest&, MonotonicTime now);
+    void recordPartsOfDead(const GrantedRequest&, const ServerState&, MonotonicTime now);
     void recordPartsAnswered(const GrantedRequest&, MonotonicTime now);
     void publishPartQuarantine(Fingerprint part);
     void charge(GrantedRequest&, std::int64_t tokens, MonotonicTime now);
--- a/src/dispatch/PartQuarantine.cpp
+++ b/src/dispatch/PartQuarantine.cpp
@@ -6,8 +6,11 @@
 
 namespace {
 
-// Deaths in a row that quarantine a part. Two may be chance for a rare part beside a deadly one.
-constexpr int quarantineDeaths = 3;
+// A death counts twice for the only request that its server had not begun to answer. So two such deaths in a row
+// quarantine a part, but not two by chance beside a deadly request.
+constexpr int soleEvidence = 2;
+constexpr int sharedEvidence = 1;
+constexpr int quarantineEvidence = 3;
 
 bool contains(const PartQuarantine::Parts& parts, Fingerprint part)
 {
@@ -16,36 +19,43 @@
 
 } // namespace
 
-PartQuarantine::Parts PartQuarantine::recordDeath(const Parts& parts, MonotonicTime grantedAt, MonotonicTime now)
+PartQuarantine::Parts PartQuarantine::recordDeath(const DeadRequest& dead, MonotonicTime now)
 {
     removeExpired(now);
+    Parts quarantined;
     Parts together;
-    Parts alone;
-    for (auto part : parts) {
+    for (auto part : dead.parts) {
         auto& entry = m_entries[part];
-        if (grantedAt <= entry.lastDeath) {
+        bool isQuarantined = now < entry.quarantinedUntil;
+        if (dead.grantedAt <= entry.lastDeath || (isQuarantined && entry.companions.empty())) {
             continue;
         }
         entry.lastDeath = now;
-        if (now < entry.quarantinedUntil) {
-            // The request ran because it lacks a companion, so this part is the deadly one.
-            extend(entry, now);
-            if (!std::exchange(entry.companions, {}).empty()) {
-                alone.push_back(part);
-            }
-        } else if (entry.forgottenAt = now + m_duration; ++entry.deaths >= quarantineDeaths) {
-            extend(entry, now);
+        entry.forgottenAt = std::max(entry.forgottenAt, now + m_duration);
+        entry.evidence += dead.isSole ? soleEvidence : sharedEvidence;
+        if (entry.evidence < quarantineEvidence) {
+            continue;
+        }
+        entry.quarantinedUntil = now + m_duration;
+        entry.forgottenAt = entry.quarantinedUntil + m_duration;
+        quarantined.push_back(part);
+        if (isQuarantined) {
+            // The request ran because it lacks a companion, so this part is deadly by itself.
+            entry.companions.clear();
+        } else {
             together.push_back(part);
         }
     }
+    if (quarantined.size() == 1) {
+        return quarantined;
+    }
     for (auto part : together) {
-        auto& companions = m_entries[part].companions;
-        // A part that is deadly by itself explains the death.
-        companions = alone.empty() ? together : alone;
-        std::erase(companions, part);
+        auto& entry = m_entries[part];
+        entry.companions = quarantined;
+        std::erase(entry.companions, part);
+        entry.evidence = 0; // against the part by itself
     }
-    together.insert(together.end(), alone.begin(), alone.end());
-    return together;
+    return quarantined;
 }
 
 PartQuarantine::Parts PartQuarantine::recordAnswered(const Parts& parts, MonotonicTime firstTokenAt, MonotonicTime now)
@@ -61,6 +71,7 @@
         changed.push_back(part);
         for (auto& [other, entry] : m_entries) {
             if (std::erase(entry.companions, part) > 0 && entry.companions.empty()) {
+                entry.evidence = quarantineEvidence;
                 changed.push_back(other);
             }
         }
@@ -74,18 +85,12 @@
     auto& entry = m_entries[part];
     bool wasAlone = now < entry.quarantinedUntil && entry.companions.empty();
     entry.companions = wasAlone ? Parts() : std::move(companions);
-    entry.deaths = quarantineDeaths;
+    entry.evidence = entry.companions.empty() ? quarantineEvidence : 0;
     // A received duration must not extend a quarantine beyond its configured length.
     entry.quarantinedUntil = std::max(entry.quarantinedUntil, now + std::min(remaining, m_duration));
     entry.forgottenAt = entry.quarantinedUntil + m_duration;
 }
 
-void PartQuarantine::extend(Entry& entry, MonotonicTime now)
-{
-    entry.quarantinedUntil = now + m_duration;
-    entry.forgottenAt = entry.quarantinedUntil + m_duration;
-}
-
 const PartQuarantine::Entry* PartQuarantine::find(Fingerprint part, MonotonicTime now) const
 {
     auto it = m_entries.find(part);
--- a/src/dispatch/PartQuarantine.h
+++ b/src/dispatch/PartQuarantine.h
@@ -12,14 +12,21 @@
 
 // Finds shared prompt parts that crash each backend server that begins to answer a request with them. A server's death
 // is evidence against the parts of the requests that it had hardly begun to answer. A part is suspect after the first
-// death and quarantined after a few in a row. The requests of one death, and those in flight at that time, count once,
-// so that many servers that fail together condemn no part. A request with the part that gets its answer clears it.
-// Parts that have only died together are quarantined together: requests with some of them alone may still run.
+// death and quarantined after two or three in a row. The requests of one death, and those in flight at that time, count
+// once, so that many servers that fail together condemn no part. A request with the part that gets its answer clears
+// it. Parts that have only died together are quarantined together: requests with some of them alone may still run.
 // Owned by a dispatcher, which sends its quarantines to the other dispatchers.
 class PartQuarantine {
 public:
     using Parts = std::vector<Fingerprint>;
 
+    // A request that ran on a server when it died.
+    struct DeadRequest {
+        const Parts& parts;
+        MonotonicTime grantedAt;
+        bool isSole = false; // the only one on the server without a token so far
+    };
+
     // A quarantine lasts this long after the last death. The part is suspect for the same time again, so that one
     // further death renews it.
     explicit PartQuarantine(Duration duration)
@@ -27,9 +34,9 @@
     {
     }
 
-    // Records the death of a server while it ran a request with the parts, which was granted at the given time; returns
-    // the parts whose quarantine began or no longer depends on others.
-    Parts recordDeath(const Parts&, MonotonicTime grantedAt, MonotonicTime now);
+    // Records the death of a server that had hardly begun to answer the request; returns the parts whose quarantine
+    // began or no longer depends on others.
+    Parts recordDeath(const DeadRequest&, MonotonicTime now);
     // A request whose first token came at the given time was answered for longer than a crash takes; returns the parts
     // that this cleared, and those whose quarantine no longer depends on them.
     Parts recordAnswered(const Parts&, MonotonicTime firstTokenAt, MonotonicTime now);
@@ -47,7 +54,7 @@
 
 private:
     struct Entry {
-        int deaths = 0;
+        int evidence = 0; // while quarantined with companions, against the part by itself
         MonotonicTime lastDeath = MonotonicTime::min();
         MonotonicTime quarantinedUntil = MonotonicTime::min();
         MonotonicTime forgottenAt;
@@ -55,7 +62,6 @@
     };
 
     const Entry* find(Fingerprint part, MonotonicTime now) const;
-    void extend(Entry&, MonotonicTime now);
     void removeExpired(MonotonicTime now);
 
     Duration m_duration;
