Take an unframed stream without a whole last event for broken

Callers could get an empty success: a worker that ends before its first event, on a stream that has neither a length nor chunks, looked like one that had nothing to say. Cause: the end of the connection ends such a stream, and a stream without half an event counted as whole. A crash with half an event counted as a protocol error, so that it was no evidence of a server's death. Change: the end of an unframed stream is whole only after a whole event of this attempt; otherwise the server has died.

--- a/src/entry/AnswerRelay.cpp
+++ b/src/entry/AnswerRelay.cpp
@@ -187,6 +187,7 @@
 asio::awaitable<RequestEvent> AnswerRelay::relayEvents(BackendConnection& connection)
 {
     std::string part;
+    auto eventsBefore = m_eventCount;
     m_lastEventAt = readMonotonicClock();
     while (true) {
         // A part of an event does not extend the time for the whole one.
@@ -198,10 +199,8 @@
             co_return AttemptFailed { failureOf(ec) };
         }
         if (part.empty()) {
-            // A clean end is that of a numbered stream, but for half an event; without [DONE] no other stream is whole.
-            bool complete = m_mode == Mode::NumberedEvents && !m_events.hasPartialEvent();
             m_tail.clear();
-            co_return complete ? RequestEvent(AnswerCompleted {}) : AttemptFailed { AttemptFailure::Protocol };
+            co_return endOfEvents(connection, m_eventCount > eventsBefore);
         }
         auto before = m_eventCount;
         if (auto event = co_await relayPart(part)) {
@@ -213,6 +212,18 @@
     }
 }
 
+RequestEvent AnswerRelay::endOfEvents(const BackendConnection& connection, bool hasEvents) const
+{
+    // The end of the connection is also that of a server that died, so it must follow a whole event.
+    bool unframed = !connection.contentLength() && !connection.isChunked();
+    if (unframed && (!hasEvents || m_events.hasPartialEvent())) {
+        return AttemptFailed { AttemptFailure::Broken };
+    }
+    // A clean end is that of a numbered stream, but for half an event; without [DONE] no other stream is whole.
+    bool complete = m_mode == Mode::NumberedEvents && !m_events.hasPartialEvent();
+    return complete ? RequestEvent(AnswerCompleted {}) : AttemptFailed { AttemptFailure::Protocol };
+}
+
 asio::awaitable<std::optional<RequestEvent>> AnswerRelay::relayPart(std::string_view part)
 {
     m_events.append(part);
--- a/src/entry/AnswerRelay.h
+++ b/src/entry/AnswerRelay.h
@@ -64,6 +64,8 @@
     asio::awaitable<RequestEvent> relayWhole(BackendConnection&, std::uint64_t limit, bool completion);
     asio::awaitable<RequestEvent> relayParts(BackendConnection&, std::uint64_t length);
     asio::awaitable<RequestEvent> relayEvents(BackendConnection&);
+    // What the end of a stream means; hasEvents tells whether this attempt brought any.
+    RequestEvent endOfEvents(const BackendConnection&, bool hasEvents) const;
     bool relaysEvents() const { return m_mode == Mode::Events || m_mode == Mode::NumberedEvents; }
     // Notes the event's id; false when it came before, as the first events of a resumed stream may.
     bool takeEventId(std::string_view event);
