--- a/src/dispatch/PlainServiceOverloadTest.cpp
+++ b/src/dispatch/PlainServiceOverloadTest.cpp
@@ -21,7 +21,7 @@
 SnapshotPtr makeSnapshot()
 {
     Configuration configuration;
-    for (int level : { 0, 2 }) {
+    for (int level : { 0, 1, 2 }) {
         Tier tier { static_cast<std::uint8_t>(level) };
         configuration.tiers[tier] = TierSpec { tier };
         ClassSpec spec;
@@ -35,7 +35,7 @@
 }
 
 // One server that answers 100 requests a second; callers without a key send 40 of the highest tier, ten teams send 13
-// each of a lower one.
+// each of a lower one. The requests of a tier between them, if any, always fail.
 class PlainServiceOverload {
 public:
     PlainServiceOverload()
@@ -44,19 +44,22 @@
         m_fixture.send(ConfigurationChanged { makeSnapshot() });
     }
 
-    void run(Duration length)
+    void run(Duration length, bool withFailures = false)
     {
         for (Duration time {}; time < length; time += 1ms) {
             m_fixture.advance(1ms);
             while (!m_ends.empty() && m_ends.front().first <= m_fixture.now) {
                 auto id = m_ends.front().second;
                 m_ends.pop();
-                m_fixture.finish(id, FinishOutcome::Completed, 0);
+                m_fixture.finish(id, id.starts_with("c1") ? FinishOutcome::ServerFailed : FinishOutcome::Completed, 0);
                 recordGrants();
             }
             if (time % 25ms == 0ms) {
                 place(0, "");
             }
+            if (withFailures && time % 100ms == 0ms) {
+                place(1, "failing");
+            }
             for (int i = 0; i < lowTeams; ++i) {
                 if ((time + i * 7ms) % 77ms == 0ms) {
                     place(2, "t" + std::to_string(i));
@@ -65,6 +68,7 @@
         }
     }
 
+    std::uint64_t guaranteedGrants() const { return m_fixture.counters().guaranteedGrants; }
     int sent(int tier) const { return m_sent.at(tier); }
     int grantedOf(const std::string& prefix) const
     {
@@ -131,6 +135,17 @@
     CHECK(overload.grantedOf("c") >= (1 - DispatchOptions().largestReserve) * 100 * 10);
 }
 
+// Guards against a lower tier that gets more than its guaranteed share, because the tokens predicted for a class whose
+// requests always fail count as granted ones.
+TEST_CASE("a guaranteed share is one of the tokens that were used, not of those predicted")
+{
+    PlainServiceOverload overload;
+    overload.run(10s, true);
+    auto lowerTiers = 2;
+    auto share = lowerTiers * TierSpec().guaranteedShare * overload.grantedOf("c");
+    CHECK(static_cast<double>(overload.guaranteedGrants()) <= share + lowerTiers);
+}
+
 // Guards against one team that gets all slots of a plain service, and another one none.
 TEST_CASE("an overloaded plain service gives each team at least 80% of its fair share")
 {
