Count only grants in use as trials of a prompt part

Requests with a suspect part could wait a minute: the trial's grant had expired unused, as when its entry is cut off, and stays in the table for late reports. Cause: every grant without an answer counted as a trial. Change: one that holds no slot does not. Evidence: the new case of DeadlyPartTest fails before.

--- a/src/dispatch/DeadlyPartTest.cpp
+++ b/src/dispatch/DeadlyPartTest.cpp
@@ -265,6 +265,24 @@
     CHECK(fixture.quarantines == std::vector { deadlyPart });
 }
 
+// Guards against requests that wait a minute for the outcome of a trial whose entry never used its grant.
+TEST_CASE("a trial that never starts does not hold up other requests with the part")
+{
+    DeadlyPartReplay replay;
+    replay.placeDeadly();
+    replay.advance(1s);
+    auto& fixture = replay.fixture();
+    auto place = DispatcherFixture::makePlace("unused");
+    place.parts = { deadlyPart };
+    fixture.sendFromEntry(place);
+    REQUIRE(fixture.grants.contains("unused"));
+    place.request = RequestId("next");
+    fixture.sendFromEntry(place);
+    CHECK_FALSE(fixture.grants.contains("next"));
+    fixture.advance(DispatchOptions().grantExpiry + 1s);
+    CHECK(fixture.grants.contains("next"));
+}
+
 // Guards against a dispatcher that crashes servers again with a part that another dispatcher has quarantined.
 TEST_CASE("a quarantined part of another dispatcher is refused, also in waiting requests")
 {
--- a/src/dispatch/GrantScheduler.cpp
+++ b/src/dispatch/GrantScheduler.cpp
@@ -102,7 +102,7 @@
 {
     std::vector<Fingerprint> parts;
     for (const auto& [request, granted] : m_state.grants.all()) {
-        if (!granted.isAnswered(now) && m_state.hasSuspectPart(granted.place, now)) {
+        if (granted.holdsSlot && !granted.isAnswered(now) && m_state.hasSuspectPart(granted.place, now)) {
             std::ranges::copy(granted.place.parts, std::back_inserter(parts));
         }
     }
