--- a/src/config/DocumentFollower.cpp
+++ b/src/config/DocumentFollower.cpp
@@ -141,7 +141,7 @@
     }
     auto& holders = m_newer->peers;
     m_actions.emplace_back(AskForDocument { holders.front() });
-    std::ranges::rotate(holders, holders.begin() + 1);
+    std::rotate(holders.begin(), holders.begin() + 1, holders.end());
     m_newer->askAt = now + m_options.askInterval;
 }
 
