Move the dispatchers' log lines into a file of their own

Change: the lines about refusals, quarantines and waiting requests stand in ControlLoopLog.cpp; nothing else changes.

--- a/src/daemon/ControlLoop.cpp
+++ b/src/daemon/ControlLoop.cpp
@@ -17,9 +17,6 @@
 // A floor is fresh for three seconds; unchanged ones are told again at this interval at most.
 constexpr Duration floorInterval = std::chrono::milliseconds(900);
 
-// Bounds the volume of the log; waits under load last seconds.
-constexpr Duration dispatcherLogInterval = std::chrono::seconds(1);
-
 PlacementRouter::Options makeRouterOptions(const DaemonSettings& settings)
 {
     PlacementRouter::Options options;
@@ -41,18 +38,6 @@
     return options;
 }
 
-// "0:12,2:5", without tiers that have none.
-template <typename Count> std::string formatByTier(const std::map<Tier, Count>& counts)
-{
-    std::string text;
-    for (const auto& [tier, count] : counts) {
-        if (count > 0) {
-            fmt::format_to(std::back_inserter(text), "{}{}:{}", text.empty() ? "" : ",", tier.level, count);
-        }
-    }
-    return text;
-}
-
 } // namespace
 
 ControlLoop::ControlLoop(asio::io_context& io, const DaemonSettings& settings, PeerService& peers, Deliver deliver)
@@ -290,11 +275,7 @@
                        },
                        [&](PublishFloor& it) { publishFloor(domain, it.floor); },
                        [&](PublishQuarantine& it) {
-                           LogLine(LogLevel::Warning, "quarantined")
-                               .add("domain", domain.value())
-                               .add("fingerprint", fmt::format("{:016x}", static_cast<std::uint64_t>(it.fingerprint)))
-                               .add("companions", it.companions.size())
-                               .add("remaining_ms", toMilliseconds(it.remaining));
+                           logQuarantine(domain, it);
                            QuarantineReceived quarantine { it.fingerprint, it.remaining, std::move(it.companions) };
                            m_peers.publish(makeQuarantineRumour(quarantine, now));
                            m_router.handle(quarantine, now);
@@ -304,28 +285,6 @@
     }
 }
 
-void ControlLoop::logRefusal(const DomainId& domain, const SendToEntry& sent, MonotonicTime now) const
-{
-    const auto* refusal = std::get_if<Refusal>(&sent.message);
-    if (!refusal || !sent.inputs) {
-        return;
-    }
-    const auto& inputs = *sent.inputs;
-    LogLine(LogLevel::Warning, "placement_refused")
-        .add("request", refusal->request.value())
-        .add("domain", domain.value())
-        .add("reason", toString(refusal->code))
-        .add("retry_after_ms", toMilliseconds(refusal->retryAfter))
-        .add("tier", inputs.tier.level)
-        .add("attempt", inputs.attempt)
-        .add("waited_ms", toMilliseconds(now - inputs.queuedAt))
-        .add("spare_ms", toMilliseconds(inputs.latestStart - now))
-        .add("waiting_in_tier", inputs.waitingInTier)
-        .add("servers", inputs.serverCount)
-        .add("unread_tokens", inputs.unreadPromptTokens)
-        .add("configuration", m_snapshot ? m_snapshot->number() : 0);
-}
-
 void ControlLoop::publishFloor(const DomainId& domain, Tier tier)
 {
     auto now = readMonotonicClock();
@@ -371,33 +330,4 @@
     logDispatchers(now);
 }
 
-void ControlLoop::logDispatchers(MonotonicTime now)
-{
-    if (now < m_dispatchersLogged + dispatcherLogInterval) {
-        return;
-    }
-    for (const auto& [domain, dispatcher] : m_dispatchers) {
-        auto summary = dispatcher.summarize();
-        auto waiting = formatByTier(summary.waiting);
-        if (waiting.empty() && summary.suspects == 0) {
-            continue;
-        }
-        m_dispatchersLogged = now;
-        LogLine(LogLevel::Info, "requests_waiting")
-            .add("domain", domain.value())
-            .add("by_tier", waiting)
-            .add("waiting_cost", summary.waitingCost)
-            .add("granted", formatByTier(summary.grants))
-            .add("guaranteed", formatByTier(summary.guaranteedGrants))
-            .add("suspects", summary.suspects)
-            .add("servers", summary.servers)
-            .add("leaving", summary.leavingServers)
-            .add("ejected", summary.ejectedServers)
-            .add("isolated", summary.isolatedServers)
-            .add("busy_slots", summary.busySlots)
-            .add("reading", summary.serversWithUnreadPrompts)
-            .add("unread_ms", toMilliseconds(summary.meanTimeToRead));
-    }
-}
-
 } // namespace lagoonspoke
