Take a broken connection for a death only when others break too

Cause: connections that broke 1 to 6 ms after the request was sent, as workers close idle ones, counted as deaths of their server, and as the only request without a token there. Change: an entry says when the server cannot have begun, which is no evidence. Evidence counts when a second request reports the same server within a second, or when it ran no other; a later report of one that goes on refutes it. A first quarantine of a part lasts 30 s instead of 10 min and each further one twice as long, as many requests may share the part. Evidence: the new cases of DeadlyPartTest and PartQuarantineTest.

--- a/include/lagoonspoke/dispatch/Messages.h
+++ b/include/lagoonspoke/dispatch/Messages.h
@@ -43,6 +43,7 @@
     ServerDied, // the connection broke while the request ran
     Aborted, // stopped by the entry, because of a withdrawn key or the deadline
     Declined, // the server did not run the request, because it is full or leaving
+    Disconnected, // the connection broke before the server can have begun to answer
 };
 
 // What the entry observed of a granted request since its last report.
--- a/src/dispatch/DeadlyPartTest.cpp
+++ b/src/dispatch/DeadlyPartTest.cpp
@@ -221,7 +221,7 @@
         replay.advance(1s);
     }
     REQUIRE(replay.fixture().quarantines == std::vector { deadlyPart });
-    replay.advance(options.quarantineTime);
+    replay.advance(options.shortestPartQuarantine);
     replay.placeDeadly();
     REQUIRE(replay.deadlyGranted() == 3);
     replay.advance(1s);
@@ -265,6 +265,59 @@
     CHECK(fixture.quarantines == std::vector { deadlyPart });
 }
 
+// Guards against condemning a common part when connections break while their server serves the other requests.
+TEST_CASE("no prompt part is quarantined for connections that break by themselves")
+{
+    auto outcome = GENERATE(FinishOutcome::ServerDied, FinishOutcome::Disconnected);
+    DispatcherFixture fixture(1, 16);
+    fixture.place("steady");
+    fixture.start("steady");
+    for (int i = 0; i < 10; ++i) {
+        auto progress = fixture.makeProgress("steady");
+        progress.firstByteSeen = true;
+        progress.outputTokens = Tokens { 10 * (i + 1) };
+        fixture.sendFromEntry(progress);
+        if (outcome == FinishOutcome::Disconnected && i == 0) {
+            fixture.finish("steady");
+        }
+        auto id = "broken" + std::to_string(i);
+        auto place = DispatcherFixture::makePlace(id);
+        place.parts = { commonPart };
+        fixture.sendFromEntry(place);
+        REQUIRE(fixture.grants.contains(id));
+        fixture.start(id);
+        fixture.advance(20ms);
+        fixture.finish(id, outcome, 0);
+        fixture.advance(500ms);
+    }
+    CHECK(fixture.quarantines.empty());
+}
+
+// Guards against evidence that is lost because each request of a dead server reports for itself.
+TEST_CASE("a second request of the same server confirms its death")
+{
+    DispatcherFixture fixture(1, 16);
+    for (int i = 0; i < 2; ++i) {
+        auto beside = "beside" + std::to_string(i);
+        fixture.place(beside);
+        auto progress = fixture.makeProgress(beside);
+        progress.firstByteSeen = true;
+        fixture.sendFromEntry(progress);
+        auto id = "deadly" + std::to_string(i);
+        auto place = DispatcherFixture::makePlace(id);
+        place.parts = { deadlyPart };
+        fixture.sendFromEntry(place);
+        REQUIRE(fixture.grants.contains(id));
+        fixture.start(id);
+        fixture.advance(90ms);
+        fixture.finish(id, FinishOutcome::ServerDied, 0);
+        CHECK(fixture.quarantines.empty());
+        fixture.finish(beside, FinishOutcome::ServerDied, 0);
+        fixture.advance(1s);
+    }
+    CHECK(fixture.quarantines == std::vector { deadlyPart });
+}
+
 // Guards against requests that wait a minute for the outcome of a trial whose entry never used its grant.
 TEST_CASE("a trial that never starts does not hold up other requests with the part")
 {
--- a/src/dispatch/DispatchOptions.h
+++ b/src/dispatch/DispatchOptions.h
@@ -40,6 +40,9 @@
     double retryBudget = 0.1;
     // How long a quarantine lasts, and how long a fingerprint stays suspect.
     Duration quarantineTime = std::chrono::minutes(10);
+    // The first quarantine of a prompt part, which many requests may share. Each further one lasts twice as long, up to
+    // quarantineTime.
+    Duration shortestPartQuarantine = std::chrono::seconds(30);
     // A peer's floor expires if it is not received again within this time.
     Duration floorLifetime = std::chrono::seconds(3);
     // Mechanisms that ablation measurements switch off one at a time.
--- a/src/dispatch/DispatchState.cpp
+++ b/src/dispatch/DispatchState.cpp
@@ -17,7 +17,7 @@
     , pool(options)
     , selector(pool, options)
     , quarantine(options.quarantineTime)
-    , partQuarantine(options.quarantineTime)
+    , partQuarantine(options.shortestPartQuarantine, options.quarantineTime)
     , retryBudget(options.retryBudget)
     , floors(options.floorLifetime)
 {
--- a/src/dispatch/GrantTracker.cpp
+++ b/src/dispatch/GrantTracker.cpp
@@ -12,6 +12,9 @@
 constexpr Duration revocationRetention = std::chrono::seconds(5);
 // For this time after its expiry, a late progress report can still show that a grant is in use.
 constexpr Duration expiredGrantRetention = std::chrono::seconds(60);
+// Reports of one server's death arrive within this time of the first; those sent before it within the second one.
+constexpr Duration confirmationTime = std::chrono::seconds(1);
+constexpr Duration reportDelay = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -30,6 +33,7 @@
     if (!granted || granted->grant != progress.grant) {
         return;
     }
+    refuteDeath(*granted, progress, now);
     observe(*granted, progress, now);
     if (progress.finished) {
         finish(progress, now);
@@ -136,8 +140,9 @@
         }
         break;
     case FinishOutcome::ServerDied:
+    case FinishOutcome::Disconnected:
         if (server) {
-            recordDeath(granted, *server, now);
+            recordDeath(granted, *server, outcome, now);
         }
         break;
     case FinishOutcome::Declined:
@@ -151,7 +156,8 @@
     }
 }
 
-void GrantTracker::recordDeath(const GrantedRequest& granted, ServerState& server, MonotonicTime now)
+void GrantTracker::recordDeath(
+    const GrantedRequest& granted, ServerState& server, FinishOutcome outcome, MonotonicTime now)
 {
     // Each request on the server reports the same death. Only a request granted after the recorded death can report a
     // new one.
@@ -159,13 +165,6 @@
     if (newDeath) {
         server.diedAt = now;
         server.runningAtDeath = server.inFlight;
-        server.unansweredAtDeath
-            = static_cast<int>(m_state.grants
-                                   .requestsWhere([&](const GrantedRequest& it) {
-                                       return it.server == granted.server && it.holdsSlot && !it.answerBeganAt;
-                                   })
-                                   .size());
-        server.unansweredAtDeath += granted.answerBeganAt ? 0 : 1;
         server.prefix = {};
         server.cache.clear();
         m_state.pool.recordFailure(server, true, now);
@@ -174,8 +173,8 @@
     if (!m_state.options.useQuarantine || server.server.leaving) {
         return;
     }
-    if (!granted.isAnswered(now)) {
-        recordPartsOfDead(granted, server, now);
+    if (outcome == FinishOutcome::ServerDied) {
+        recordPartsOfDead(granted, newDeath, now);
     }
     if (granted.place.fingerprint == Fingerprint {}) {
         return;
@@ -192,15 +191,49 @@
     m_admission.applyFingerprintState(fingerprint, now);
 }
 
-void GrantTracker::recordPartsOfDead(const GrantedRequest& granted, const ServerState& server, MonotonicTime now)
+void GrantTracker::recordPartsOfDead(const GrantedRequest& granted, bool newDeath, MonotonicTime now)
 {
-    const auto& parts = granted.place.parts;
-    bool isSole = !granted.answerBeganAt && server.unansweredAtDeath <= 1;
-    for (auto part : m_state.partQuarantine.recordDeath({ parts, granted.grantedAt, isSole }, now)) {
-        ++m_state.counters.quarantined;
-        publishPartQuarantine(part);
+    if (newDeath) {
+        SuspectedDeath death { now, 0, granted.answerBeganAt ? 0 : 1, {} };
+        for (const auto& [request, other] : m_state.grants.all()) {
+            if (other.server == granted.server && other.started && other.holdsSlot) {
+                ++death.others;
+                death.unanswered += other.answerBeganAt ? 0 : 1;
+            }
+        }
+        m_suspectedDeaths[granted.server] = std::move(death);
+    }
+    auto it = m_suspectedDeaths.find(granted.server);
+    if (it == m_suspectedDeaths.end() || now > it->second.at + confirmationTime) {
+        return;
+    }
+    auto& death = it->second;
+    if (!granted.isAnswered(now)) {
+        death.requests.push_back(granted);
+    }
+    // The connection of one request may break while the server serves the others.
+    if (newDeath && death.others > 0) {
+        return;
+    }
+    for (const auto& dead : std::exchange(death.requests, {})) {
+        const auto& parts = dead.place.parts;
+        bool isSole = !dead.answerBeganAt && death.unanswered <= 1;
+        for (auto part : m_state.partQuarantine.recordDeath({ parts, dead.grantedAt, isSole }, now)) {
+            ++m_state.counters.quarantined;
+            publishPartQuarantine(part, now);
+        }
+        m_admission.applyPartState(parts, now);
+    }
+}
+
+void GrantTracker::refuteDeath(const GrantedRequest& granted, const Progress& progress, MonotonicTime now)
+{
+    auto it = m_suspectedDeaths.find(granted.server);
+    bool goesOn = !progress.finished || progress.outcome == FinishOutcome::Completed;
+    if (it != m_suspectedDeaths.end() && goesOn && granted.grantedAt <= it->second.at
+        && now > it->second.at + reportDelay) {
+        m_suspectedDeaths.erase(it);
     }
-    m_admission.applyPartState(parts, now);
 }
 
 void GrantTracker::recordPartsAnswered(const GrantedRequest& granted, MonotonicTime now)
@@ -210,17 +243,19 @@
         return;
     }
     for (auto part : changed) {
-        if (m_state.partQuarantine.remainingQuarantine({ part }, now)) {
-            publishPartQuarantine(part);
-        }
+        publishPartQuarantine(part, now);
     }
     m_admission.applyPartState(changed, now);
 }
 
-void GrantTracker::publishPartQuarantine(Fingerprint part)
+void GrantTracker::publishPartQuarantine(Fingerprint part, MonotonicTime now)
 {
-    m_state.actions.emplace_back(
-        PublishQuarantine { part, m_state.options.quarantineTime, m_state.partQuarantine.companionsOf(part) });
+    auto companions = m_state.partQuarantine.companionsOf(part);
+    auto parts = companions;
+    parts.push_back(part);
+    if (auto remaining = m_state.partQuarantine.remainingQuarantine(parts, now)) {
+        m_state.actions.emplace_back(PublishQuarantine { part, *remaining, std::move(companions) });
+    }
 }
 
 void GrantTracker::clearAnsweredParts(MonotonicTime now)
--- a/src/dispatch/GrantTracker.h
+++ b/src/dispatch/GrantTracker.h
@@ -38,19 +38,30 @@
     void finish(const Progress&, MonotonicTime now);
     void settleCharge(const GrantedRequest&, const Progress&, MonotonicTime now);
     void recordOutcome(const GrantedRequest&, FinishOutcome, MonotonicTime now);
-    void recordDeath(const GrantedRequest&, ServerState&, MonotonicTime now);
-    void recordPartsOfDead(const GrantedRequest&, const ServerState&, MonotonicTime now);
+    void recordDeath(const GrantedRequest&, ServerState&, FinishOutcome, MonotonicTime now);
+    void recordPartsOfDead(const GrantedRequest&, bool newDeath, MonotonicTime now);
+    // A report from a server shows that only the connections of other requests broke.
+    void refuteDeath(const GrantedRequest&, const Progress&, MonotonicTime now);
     void recordPartsAnswered(const GrantedRequest&, MonotonicTime now);
-    void publishPartQuarantine(Fingerprint part);
+    void publishPartQuarantine(Fingerprint part, MonotonicTime now);
     void charge(GrantedRequest&, std::int64_t tokens, MonotonicTime now);
     void release(const GrantedRequest&);
 
+    // A death that one request reported. It is evidence once another request of the server reports it as well.
+    struct SuspectedDeath {
+        MonotonicTime at;
+        int others = 0; // requests that the server ran beside the first one
+        int unanswered = 0; // requests without a token, the first one included
+        std::vector<GrantedRequest> requests; // that it had hardly begun to answer
+    };
+
     DispatchState& m_state;
     Admission& m_admission;
     GrantScheduler& m_scheduler;
     Preemptor& m_preemptor;
     // Requests that ended after a revocation, with the time at which the record expires.
     absl::flat_hash_map<RequestId, MonotonicTime> m_revoked;
+    absl::flat_hash_map<BackendServerId, SuspectedDeath> m_suspectedDeaths;
 };
 
 } // namespace lagoonspoke
--- a/src/dispatch/PartQuarantine.cpp
+++ b/src/dispatch/PartQuarantine.cpp
@@ -31,13 +31,14 @@
             continue;
         }
         entry.lastDeath = now;
-        entry.forgottenAt = std::max(entry.forgottenAt, now + m_duration);
+        entry.forgottenAt = std::max(entry.forgottenAt, now + m_longest);
         entry.evidence += dead.isSole ? soleEvidence : sharedEvidence;
         if (entry.evidence < quarantineEvidence) {
             continue;
         }
-        entry.quarantinedUntil = now + m_duration;
-        entry.forgottenAt = entry.quarantinedUntil + m_duration;
+        entry.duration = std::clamp(2 * entry.duration, m_shortest, m_longest);
+        entry.quarantinedUntil = now + entry.duration;
+        entry.forgottenAt = entry.quarantinedUntil + m_longest;
         quarantined.push_back(part);
         if (isQuarantined) {
             // The request ran because it lacks a companion, so this part is deadly by itself.
@@ -87,8 +88,9 @@
     entry.companions = wasAlone ? Parts() : std::move(companions);
     entry.evidence = entry.companions.empty() ? quarantineEvidence : 0;
     // A received duration must not extend a quarantine beyond its configured length.
-    entry.quarantinedUntil = std::max(entry.quarantinedUntil, now + std::min(remaining, m_duration));
-    entry.forgottenAt = entry.quarantinedUntil + m_duration;
+    entry.quarantinedUntil = std::max(entry.quarantinedUntil, now + std::min(remaining, m_longest));
+    entry.duration = std::max(entry.duration, m_shortest);
+    entry.forgottenAt = entry.quarantinedUntil + m_longest;
 }
 
 const PartQuarantine::Entry* PartQuarantine::find(Fingerprint part, MonotonicTime now) const
--- a/src/dispatch/PartQuarantine.h
+++ b/src/dispatch/PartQuarantine.h
@@ -27,10 +27,11 @@
         bool isSole = false; // the only one on the server without a token so far
     };
 
-    // A quarantine lasts this long after the last death. The part is suspect for the same time again, so that one
-    // further death renews it.
-    explicit PartQuarantine(Duration duration)
-        : m_duration(duration)
+    // A first quarantine lasts for the shorter time. After it the part is suspect for the longer one, in which a
+    // further death renews the quarantine for twice the last time, up to the longer one.
+    PartQuarantine(Duration shortest, Duration longest)
+        : m_shortest(shortest)
+        , m_longest(longest)
     {
     }
 
@@ -57,6 +58,7 @@
         int evidence = 0; // while quarantined with companions, against the part by itself
         MonotonicTime lastDeath = MonotonicTime::min();
         MonotonicTime quarantinedUntil = MonotonicTime::min();
+        Duration duration {}; // of the last quarantine
         MonotonicTime forgottenAt;
         Parts companions;
     };
@@ -64,7 +66,8 @@
     const Entry* find(Fingerprint part, MonotonicTime now) const;
     void removeExpired(MonotonicTime now);
 
-    Duration m_duration;
+    Duration m_shortest;
+    Duration m_longest;
     absl::flat_hash_map<Fingerprint, Entry> m_entries;
 };
 
--- a/src/dispatch/PartQuarantineTest.cpp
+++ b/src/dispatch/PartQuarantineTest.cpp
@@ -19,7 +19,7 @@
 // Two deaths in a row of the only request that its server had not begun to answer, at 2 and 4 s.
 PartQuarantine makeQuarantined()
 {
-    PartQuarantine quarantine(10min);
+    PartQuarantine quarantine(30s, 10min);
     CHECK(quarantine.recordDeath({ deadlyRequest, MonotonicTime(1s), true }, MonotonicTime(2s)).empty());
     CHECK(quarantine.recordDeath({ deadlyRequest, MonotonicTime(3s), true }, MonotonicTime(4s)) == deadlyRequest);
     return quarantine;
@@ -53,6 +53,25 @@
     CHECK_FALSE(quarantine.remainingQuarantine(soundRequest, MonotonicTime(9s)));
 }
 
+// Guards against quarantines that let a deadly part strike twice a minute for ever.
+TEST_CASE("each further quarantine of a part lasts twice as long")
+{
+    PartQuarantine quarantine(30s, 1min);
+    const PartQuarantine::Parts parts { deadly };
+    auto now = MonotonicTime(10s);
+    quarantine.recordDeath({ parts, now - 1s, true }, now);
+    now += 2s;
+    quarantine.recordDeath({ parts, now - 1s, true }, now);
+    CHECK(quarantine.remainingQuarantine(parts, now) == Duration(30s));
+    for (auto expected : { 1min, 1min }) {
+        now += 61s;
+        REQUIRE_FALSE(quarantine.remainingQuarantine(parts, now));
+        REQUIRE(quarantine.isSuspect(deadly, now));
+        quarantine.recordDeath({ parts, now - 1s }, now);
+        CHECK(quarantine.remainingQuarantine(parts, now) == Duration(expected));
+    }
+}
+
 // Guards against an answer that began before the crash and ends a quarantine.
 TEST_CASE("an answer from before the last death does not end a quarantine")
 {
--- a/src/dispatch/ServerState.h
+++ b/src/dispatch/ServerState.h
@@ -59,7 +59,6 @@
     std::multiset<MonotonicTime> awaitingFirstByte; // grant times of requests without a first byte
     std::optional<MonotonicTime> diedAt; // grants made up to then ended with the server's death
     int runningAtDeath = 0; // other requests in flight when the first one reported the death
-    int unansweredAtDeath = 0; // requests without a token so far, that one included
     MonotonicTime lastSlowTrial {};
 
 private:
--- a/src/entry/RequestConclusion.cpp
+++ b/src/entry/RequestConclusion.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// A connection that breaks sooner after the request was sent is one that its server had closed already; a server that
+// began to work on the request breaks it later.
+constexpr Duration shortestRun = std::chrono::milliseconds(10);
 constexpr Duration usageBound = std::chrono::milliseconds(50);
 // At the design size about 910 streams run in one domain: reports each 100 ms would be 9,100 messages a second there.
 constexpr Duration reportInterval = std::chrono::seconds(1);
@@ -63,7 +66,7 @@
     }
     auto progress = makeProgress();
     progress.finished = true;
-    progress.outcome = outcome;
+    progress.outcome = outcome == FinishOutcome::ServerDied && !mayHaveBegun() ? FinishOutcome::Disconnected : outcome;
     progress.promptTokens = m_relay.tokens().prompt().value_or(m_request.promptTokens);
     m_services.placement.report(progress);
     m_grant.reset();
@@ -72,6 +75,11 @@
     }
 }
 
+bool RequestRunner::mayHaveBegun() const
+{
+    return m_firstByteReported || readMonotonicClock() - m_sent >= shortestRun;
+}
+
 void RequestRunner::countStart()
 {
     if (!std::exchange(m_startCounted, true) && m_services.settings.countsUsageAtStart && m_services.usageSink
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-// A connection that breaks sooner after the request was sent is one that its server had closed already; a server that
-// began to work on the request breaks it later.
-constexpr Duration shortestRun = std::chrono::milliseconds(10);
-
 CallerHead copyHead(const HttpExchange& exchange)
 {
     const auto& request = exchange.request();
@@ -386,7 +382,7 @@
         m_wait = Wait::Nothing;
         if (ec) {
             auto cause = failureOf(ec);
-            if (cause == AttemptFailure::Broken && readMonotonicClock() - m_sent >= shortestRun) {
+            if (cause == AttemptFailure::Broken && mayHaveBegun()) {
                 countStart();
             }
             co_return AttemptFailed { cause };
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -81,6 +81,8 @@
     void startDeadline();
     void watchCaller();
     bool isExpectedAnswer(const BackendAnswer&) const;
+    // Whether the server had the request for long enough to begin on it.
+    bool mayHaveBegun() const;
     // The id that backend servers echo.
     const std::string& backendId() const { return m_request.callerId.empty() ? m_id.value() : m_request.callerId; }
     PlaceRequest makePlaceRequest(const AskForGrant&) const;
--- a/src/wire/PlacementCodec.cpp
+++ b/src/wire/PlacementCodec.cpp
@@ -202,7 +202,7 @@
     progress.outputTokens = { it.output_tokens() };
     progress.finished = it.finished();
     progress.promptTokens = { it.prompt_tokens() };
-    if (!readEnum(it.outcome(), FinishOutcome::Declined, progress.outcome)) {
+    if (!readEnum(it.outcome(), FinishOutcome::Disconnected, progress.outcome)) {
         return std::nullopt;
     }
     return progress;
