Predict no output for plain services

The fault behind it is that output tokens are predicted for plain services, 256 for a class without a completed request.

--- a/src/dispatch/Admission.cpp
+++ b/src/dispatch/Admission.cpp
@@ -25,7 +25,9 @@
     waiting->target = now - place.waited + spec.firstTokenTarget;
     waiting->gapSensitive = spec.tokenGapTarget <= m_state.options.shortestGapTarget;
     waiting->deadline = now + place.remaining;
-    waiting->predictedOutput = m_state.lengths.predict(place.team, place.className, place.outputLimit).count;
+    if (!m_state.isPlainService) {
+        waiting->predictedOutput = m_state.lengths.predict(place.team, place.className, place.outputLimit).count;
+    }
     waiting->cost = requestCost(place.promptTokens, waiting->predictedOutput);
     // Predicted lengths are uncertain, so at most half of the remaining time is set aside for the service time.
     auto service = m_state.times.firstToken() + m_state.times.timePerOutputToken() * waiting->predictedOutput;
--- a/src/dispatch/DispatchState.h
+++ b/src/dispatch/DispatchState.h
@@ -59,6 +59,7 @@
 
     DispatchOptions options;
     SnapshotPtr snapshot;
+    bool isPlainService = false; // its answers have no output tokens to predict
     MonotonicTime startedAt {};
     std::map<Tier, TierQueue> queues;
     // Waiting requests that are suspected, themselves or a part of their prompt; ordered by tier, then by time.
--- a/src/dispatch/GrantTracker.cpp
+++ b/src/dispatch/GrantTracker.cpp
@@ -91,7 +91,9 @@
     granted.charged += tokens;
     m_state.queueOf(granted.place.tier).charge(team, m_state.weightOf(team), tokens);
     m_state.limiter.adjustTokens(team, tokens, now);
-    m_state.shares.recordGranted(tokens, now);
+    if (tokens > 0) {
+        m_state.shares.recordGranted(tokens, now);
+    }
     m_state.shares.spend(granted.place.tier, tokens, granted.guaranteed);
 }
 
--- a/src/dispatch/PlainServiceOverloadTest.cpp
+++ b/src/dispatch/PlainServiceOverloadTest.cpp
@@ -21,6 +21,7 @@
 SnapshotPtr makeSnapshot()
 {
     Configuration configuration;
+    configuration.services[TargetName("m")] = ServiceSpec { TargetName("m") };
     for (int level : { 0, 1, 2 }) {
         Tier tier { static_cast<std::uint8_t>(level) };
         configuration.tiers[tier] = TierSpec { tier };
@@ -137,7 +138,7 @@
 
 // Guards against a lower tier that gets more than its guaranteed share, because the tokens predicted for a class whose
 // requests always fail count as granted ones.
-TEST_CASE("a guaranteed share is one of the tokens that were used, not of those predicted")
+TEST_CASE("no output is predicted for a plain service, so that a guaranteed share is one of what was granted")
 {
     PlainServiceOverload overload;
     overload.run(10s, true);
--- a/src/dispatch/PolicyDispatcher.cpp
+++ b/src/dispatch/PolicyDispatcher.cpp
@@ -141,6 +141,7 @@
 void PolicyDispatcher::configure(const Configuration& configuration)
 {
     m_state.shares.configure(configuration.tiers);
+    m_state.isPlainService = configuration.services.contains(m_target);
     if (auto it = configuration.deployments.find(m_target); it != configuration.deployments.end()) {
         m_state.pool.setCacheCapacity(it->second.memoryPerServer);
         m_schedulerInterval = it->second.memoryPerServer.count > 0 ? schedulerInterval : Duration(0);
--- a/src/dispatch/TierShares.cpp
+++ b/src/dispatch/TierShares.cpp
@@ -47,11 +47,10 @@
 void TierShares::recordGranted(std::int64_t tokens, MonotonicTime now)
 {
     updateRate(now);
-    m_tokensPerSecond = std::max(0.0, m_tokensPerSecond + static_cast<double>(tokens) / rateTimeConstantSeconds);
+    m_tokensPerSecond += static_cast<double>(tokens) / rateTimeConstantSeconds;
     for (auto& [tier, share] : m_shares) {
         if (now - share.lastDemand < demandWindow) {
-            share.credit
-                = std::clamp(share.credit + share.guaranteed * static_cast<double>(tokens), -maxCredit, maxCredit);
+            share.credit = std::min(maxCredit, share.credit + share.guaranteed * static_cast<double>(tokens));
         } else {
             share.credit = 0;
         }
--- a/src/dispatch/TierShares.h
+++ b/src/dispatch/TierShares.h
@@ -17,8 +17,7 @@
     void recordArrival(Tier, MonotonicTime now);
     // The tier has waiting requests now.
     void recordWaiting(Tier, MonotonicTime now);
-    // Tokens were granted to some tier of the domain: credits each tier with recent demand its share of them. A
-    // negative amount takes back what was predicted and not used.
+    // Tokens were granted to some tier of the domain: credits each tier with recent demand its share of them.
     void recordGranted(std::int64_t tokens, MonotonicTime now);
     // Charges the tokens of a grant to the tier's credit. Ordinary grants use up credit as well, but only guaranteed
     // ones leave a debt. A negative amount refunds an earlier guaranteed charge and is ignored for ordinary grants.
