Read numbers of a damaged placement message without a misaligned load

Cause: FlatBuffers' verifier does not check where a vector of numbers begins, and its accessor loads through a cast pointer. Change: the numbers are copied out. Evidence: build-address/wireTests fails before and passes now.

--- a/src/wire/PlacementCodec.cpp
+++ b/src/wire/PlacementCodec.cpp
@@ -1,5 +1,6 @@
 #include "wire/PlacementCodec.h"
 
+#include <cstring>
 #include <optional>
 
 #include "wire/FlatBufferAccess.h"
@@ -37,11 +38,19 @@
     return builder.CreateVector(counts);
 }
 
+// The verifier does not check where a vector of numbers begins, so that one in a damaged message may be misaligned.
+template <typename Number> Number readNumber(const flatbuffers::Vector<Number>& vector, std::size_t i)
+{
+    Number number;
+    std::memcpy(&number, vector.Data() + i * sizeof(Number), sizeof(Number));
+    return flatbuffers::EndianScalar(number);
+}
+
 template <typename Hash> std::vector<Hash> readHashes(const flatbuffers::Vector<std::uint64_t>* vector)
 {
     std::vector<Hash> hashes;
     for (std::size_t i = 0; vector && i < vector->size(); ++i) {
-        hashes.push_back(Hash(vector->Get(static_cast<flatbuffers::uoffset_t>(i))));
+        hashes.push_back(Hash(readNumber(*vector, i)));
     }
     return hashes;
 }
@@ -50,7 +59,7 @@
 {
     std::vector<Tokens> tokens;
     for (std::size_t i = 0; vector && i < vector->size(); ++i) {
-        tokens.push_back({ vector->Get(static_cast<flatbuffers::uoffset_t>(i)) });
+        tokens.push_back({ readNumber(*vector, i) });
     }
     return tokens;
 }
