Refuse a daemon whose address is in use without a crash

A user with a port in use got the crash in place of the error.

Change: the exchange is stopped only if there is one. The class is a destructor that assumes a start; the directories, the engine monitor and the traffic threads check for it, the services of the store stop nothing when destroyed.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -306,8 +306,8 @@
     m_supervisor.start();
     LogLine(LogLevel::Info, "listening")
         .add("instance", m_settings.instance.value())
-        .add("caller_address", formatEndpoint(m_traffic.front()->endpoint()))
-        .add("admin_address", formatEndpoint(m_admin->endpoint()))
+        .add("caller_address", formatEndpoint(callerEndpoint()))
+        .add("admin_address", formatEndpoint(adminEndpoint()))
         .add("peer_address", m_peers->address());
     m_io.run();
     for (auto& thread : m_traffic) {
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -31,6 +31,10 @@
     // Serves until SIGTERM or SIGINT, then shuts down gracefully. SIGHUP loads the settings again.
     void run(const LoadSettings&);
 
+    // The addresses as bound, with the port that the kernel gave for port 0.
+    tcp::endpoint callerEndpoint() const { return m_traffic.front()->endpoint(); }
+    tcp::endpoint adminEndpoint() const { return m_admin->endpoint(); }
+
 private:
     Daemon(DaemonSettings, ExternalInterfaces);
 
--- a/src/daemon/PeerService.cpp
+++ b/src/daemon/PeerService.cpp
@@ -55,6 +55,8 @@
     m_state->timer.cancel();
     if (m_state->source) {
         m_state->source->stop();
+    }
+    if (m_state->exchange) {
         m_state->exchange->stop();
     }
     for (auto& [peer, link] : m_state->links) {
