Forget deaths of servers that no second request confirms

A dispatcher kept a copy of the requests of every server whose death was reported once, under the server's id, for as long as it ran: memory grows with each server that is replaced. Cause: an entry of the table of suspected deaths was removed only when a later report refuted it. Found in the code. Change: the table and its rules move from GrantTracker into DeathConfirmation, which keeps the parts of the requests alone and forgets a death after the second in which it can be confirmed. What counts as evidence is unchanged. Evidence: "a death that no second request confirms is forgotten" (DeathConfirmationTest); the code before had no such removal. dispatchTests and policyTests pass.

--- a/src/dispatch/GrantTracker.cpp
+++ b/src/dispatch/GrantTracker.cpp
@@ -12,9 +12,6 @@
 constexpr Duration revocationRetention = std::chrono::seconds(5);
 // For this time after its expiry, a late progress report can still show that a grant is in use.
 constexpr Duration expiredGrantRetention = std::chrono::seconds(60);
-// Reports of one server's death arrive within this time of the first; those sent before it within the second one.
-constexpr Duration confirmationTime = std::chrono::seconds(1);
-constexpr Duration reportDelay = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -33,7 +30,9 @@
     if (!granted || granted->grant != progress.grant) {
         return;
     }
-    refuteDeath(*granted, progress, now);
+    if (!progress.finished || progress.outcome == FinishOutcome::Completed) {
+        m_deaths.refute(*granted, now);
+    }
     observe(*granted, progress, now);
     if (progress.finished) {
         finish(progress, now);
@@ -196,45 +195,22 @@
 void GrantTracker::recordPartsOfDead(const GrantedRequest& granted, bool newDeath, MonotonicTime now)
 {
     if (newDeath) {
-        SuspectedDeath death { now, 0, granted.answerBeganAt ? 0 : 1, {} };
+        int others = 0;
+        int unanswered = granted.answerBeganAt ? 0 : 1;
         for (const auto& [request, other] : m_state.grants.all()) {
             if (other.server == granted.server && other.started && other.holdsSlot) {
-                ++death.others;
-                death.unanswered += other.answerBeganAt ? 0 : 1;
+                ++others;
+                unanswered += other.answerBeganAt ? 0 : 1;
             }
         }
-        m_suspectedDeaths[granted.server] = std::move(death);
-    }
-    auto it = m_suspectedDeaths.find(granted.server);
-    if (it == m_suspectedDeaths.end() || now > it->second.at + confirmationTime) {
-        return;
-    }
-    auto& death = it->second;
-    if (!granted.isAnswered(now)) {
-        death.requests.push_back(granted);
-    }
-    // The connection of one request may break while the server serves the others.
-    if (newDeath && death.others > 0) {
-        return;
+        m_deaths.begin(granted.server, others, unanswered, now);
     }
-    for (const auto& dead : std::exchange(death.requests, {})) {
-        const auto& parts = dead.place.parts;
-        bool isSole = !dead.answerBeganAt && death.unanswered <= 1;
-        for (auto part : m_state.partQuarantine.recordDeath({ parts, dead.grantedAt, isSole }, now)) {
+    for (const auto& dead : m_deaths.add(granted, now)) {
+        for (auto part : m_state.partQuarantine.recordDeath(dead, now)) {
             ++m_state.counters.quarantined;
             publishPartQuarantine(part, now);
         }
-        m_admission.applyPartState(parts, now);
-    }
-}
-
-void GrantTracker::refuteDeath(const GrantedRequest& granted, const Progress& progress, MonotonicTime now)
-{
-    auto it = m_suspectedDeaths.find(granted.server);
-    bool goesOn = !progress.finished || progress.outcome == FinishOutcome::Completed;
-    if (it != m_suspectedDeaths.end() && goesOn && granted.grantedAt <= it->second.at
-        && now > it->second.at + reportDelay) {
-        m_suspectedDeaths.erase(it);
+        m_admission.applyPartState(dead.parts, now);
     }
 }
 
@@ -333,6 +309,7 @@
 
 void GrantTracker::expire(MonotonicTime now)
 {
+    m_deaths.removeExpired(now);
     for (const auto& request : m_state.grants.expired(now)) {
         auto* granted = m_state.grants.find(request);
         if (!granted->holdsSlot) {
--- a/src/dispatch/GrantTracker.h
+++ b/src/dispatch/GrantTracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/Admission.h"
+#include "dispatch/DeathConfirmation.h"
 #include "dispatch/DispatchState.h"
 #include "dispatch/GrantScheduler.h"
 #include "dispatch/Preemptor.h"
@@ -20,7 +21,7 @@
     // Ends a grant without an outcome: its entry placed the request again, withdrew it or was lost, or the grant
     // expired for good. Returns whether the grant had been revoked.
     bool endWithoutOutcome(const RequestId&, MonotonicTime now);
-    // Frees the slots of grants that were not used in time.
+    // Frees the slots of grants that were not used in time, and forgets deaths that nothing confirmed.
     void expire(MonotonicTime now);
     // Clears the suspect prompt parts of requests whose answers have begun for long enough.
     void clearAnsweredParts(MonotonicTime now);
@@ -40,28 +41,18 @@
     void recordOutcome(const GrantedRequest&, FinishOutcome, MonotonicTime now);
     void recordDeath(const GrantedRequest&, ServerState&, FinishOutcome, MonotonicTime now);
     void recordPartsOfDead(const GrantedRequest&, bool newDeath, MonotonicTime now);
-    // A report from a server shows that only the connections of other requests broke.
-    void refuteDeath(const GrantedRequest&, const Progress&, MonotonicTime now);
     void recordPartsAnswered(const GrantedRequest&, MonotonicTime now);
     void publishPartQuarantine(Fingerprint part, MonotonicTime now);
     void charge(GrantedRequest&, std::int64_t tokens, MonotonicTime now);
     void release(const GrantedRequest&);
 
-    // A death that one request reported. It is evidence once another request of the server reports it as well.
-    struct SuspectedDeath {
-        MonotonicTime at;
-        int others = 0; // requests that the server ran beside the first one
-        int unanswered = 0; // requests without a token, the first one included
-        std::vector<GrantedRequest> requests; // that it had hardly begun to answer
-    };
-
     DispatchState& m_state;
     Admission& m_admission;
     GrantScheduler& m_scheduler;
     Preemptor& m_preemptor;
     // Requests that ended after a revocation, with the time at which the record expires.
     absl::flat_hash_map<RequestId, MonotonicTime> m_revoked;
-    absl::flat_hash_map<BackendServerId, SuspectedDeath> m_suspectedDeaths;
+    DeathConfirmation m_deaths;
 };
 
 } // namespace lagoonspoke
--- a/src/dispatch/PartQuarantine.h
+++ b/src/dispatch/PartQuarantine.h
@@ -22,7 +22,7 @@
 
     // A request that ran on a server when it died.
     struct DeadRequest {
-        const Parts& parts;
+        Parts parts;
         MonotonicTime grantedAt;
         bool isSole = false; // the only one on the server without a token so far
     };
