Let every instance tell a cut-off peer of newer servers

Callers' requests could reach servers more than the 3 s allowed after these had reported that they leave, on a large fleet whose dispatcher the store turns away. Cause: such an instance asks two random peers every 400 ms, but only those that read the store themselves answered, six of 58. Rumours of leaving servers cover most, not all, when 70 leave at once. The class is a question that most of those asked ignore although they know the answer. Ruled out: the cut-off instance does not lose what it was told; a server known to leave does not come back in its list. Change: instances that live by what a reader tells them answer too. A question carries the asker's revision, and is answered only with a newer list, so that it costs less than before where nothing has changed.

--- a/src/daemon/ServerListExchange.cpp
+++ b/src/daemon/ServerListExchange.cpp
@@ -17,9 +17,10 @@
 constexpr Duration tickInterval = 400ms;
 constexpr std::size_t askedPeers = 2;
 
-std::string encodeAsk()
+// Asks for the list if it is newer than the revision.
+std::string encodeAsk(std::uint64_t revision)
 {
-    return encodeConfigurationMessage(HeadNotice { 0, {}, true });
+    return encodeConfigurationMessage(HeadNotice { revision, {}, true });
 }
 
 } // namespace
@@ -38,7 +39,10 @@
     void tick();
     void updateRole();
     void askSome();
-    void answer(const InstanceId& from, const HeadNotice&);
+    void noteNotice(const InstanceId& from, const HeadNotice&);
+    // Whether the list is at most a moment older than the store's: as read, or as told by a reader.
+    bool isRecent() const { return !reading || source->isCurrent(); }
+    void answer(const InstanceId& from, const HeadNotice&) const;
     void take(const InstanceId& from, const std::string& text);
 
     asio::steady_timer timer;
@@ -112,7 +116,7 @@
     std::vector<InstanceId> asked;
     std::ranges::sample(peers, std::back_inserter(asked), askedPeers, random);
     for (const auto& peer : asked) {
-        callbacks.send(peer, encodeAsk());
+        callbacks.send(peer, encodeAsk(source->serversRevision()));
     }
 }
 
@@ -134,19 +138,23 @@
     }
 }
 
-void ServerListExchange::State::answer(const InstanceId& from, const HeadNotice& notice)
+void ServerListExchange::State::noteNotice(const InstanceId& from, const HeadNotice& notice)
 {
     auto now = readMonotonicClock();
-    if (!notice.replyWanted) {
-        roles.noteReader(from, now);
-        if (roles.isFollowed(from, now) && !reading && notice.number > source->serversRevision()) {
-            callbacks.send(from, encodeAsk());
-        }
-        updateRole();
+    roles.noteReader(from, now);
+    auto revision = source->serversRevision();
+    if (roles.isFollowed(from, now) && !reading && notice.number > revision) {
+        callbacks.send(from, encodeAsk(revision));
+    }
+    updateRole();
+}
+
+void ServerListExchange::State::answer(const InstanceId& from, const HeadNotice& ask) const
+{
+    if (!isRecent() || source->serversRevision() <= ask.number) {
         return;
     }
-    // What is not current is no help to another.
-    if (auto text = source->isCurrent() ? source->shareServers() : std::string(); !text.empty()) {
+    if (auto text = source->shareServers(); !text.empty()) {
         callbacks.send(from, encodeConfigurationMessage(BlobReply { {}, std::move(text) }));
     }
 }
@@ -158,7 +166,7 @@
         return;
     }
     if (heard.error().code == ErrorCode::Conflict) {
-        callbacks.send(from, encodeAsk());
+        callbacks.send(from, encodeAsk(source->serversRevision()));
         return;
     }
     LogLine(LogLevel::Warning, "peer_message_refused").add("peer", from.value()).add("error", heard.error().message);
@@ -172,7 +180,11 @@
             .add("peer", from.value())
             .add("error", message.error().message);
     } else if (const auto* notice = std::get_if<HeadNotice>(&*message)) {
-        m_state->answer(from, *notice);
+        if (notice->replyWanted) {
+            m_state->answer(from, *notice);
+        } else {
+            m_state->noteNotice(from, *notice);
+        }
     } else if (const auto* reply = std::get_if<BlobReply>(&*message); reply && reply->content) {
         m_state->take(from, *reply->content);
     }
