--- a/src/daemon/ServerListExchangeTest.cpp
+++ b/src/daemon/ServerListExchangeTest.cpp
@@ -38,6 +38,7 @@
                 [](bool) {} })
     {
         std::vector<Member> members;
+        members.reserve(20);
         for (int i = 0; i < 20; ++i) {
             members.push_back(
                 { InstanceId(fmt::format("{}", i)), DataCentreId("a"), RegionId("r"), "", makeIncarnation(5) });
