Say why the soak could not read a field

Cause: a call to a daemon or a stand-in that failed became null in Testbed::readField, and null was taken for another number or for 0, so that the message could not tell a failed read from a broken promise.

Change: readField gives the error, and the violations print the values that were compared or why there is none. A failed read still fails the run. A scenario takes it for null, as before.

--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -248,12 +248,16 @@
     co_return effects;
 }
 
-asio::awaitable<std::map<std::string, ReportedUsage>> SoakRun::readUsage()
+asio::awaitable<Outcome<std::map<std::string, ReportedUsage>>> SoakRun::readUsage()
 {
     std::map<std::string, ReportedUsage> usage;
     for (const std::string team : { "red", "blue" }) {
         auto totals = co_await m_system.testbed().readField("usage", "totals/" + team);
-        if (totals && totals->is_object()) {
+        if (!totals) {
+            co_return tl::make_unexpected(totals.error());
+        }
+        // Null before the first report of the team.
+        if (totals->is_object()) {
             usage[team] = { totals->at("requests").as_int64(), totals->at("output_tokens").as_int64() };
         }
     }
@@ -266,17 +270,22 @@
     // Reports come after the seals of the last windows.
     auto end = readMonotonicClock() + usageBound;
     auto usage = co_await readUsage();
-    while (!m_ledger.isUsageWhole(usage) && readMonotonicClock() < end) {
+    while (!(usage && m_ledger.isUsageWhole(*usage)) && readMonotonicClock() < end) {
         co_await wait(observeInterval);
         usage = co_await readUsage();
     }
     // What would be billed too much comes with the next windows.
     co_await wait(settleTime);
     usage = co_await readUsage();
-    m_ledger.checkUsage(usage);
+    if (usage) {
+        m_ledger.checkUsage(*usage);
+    } else {
+        m_ledger.require(false, "the usage stand-in does not tell its totals: " + usage.error().message);
+    }
     for (const auto* field : { "different_figures", "overlapping_claims" }) {
         auto count = co_await m_system.testbed().readField("usage", field);
-        m_ledger.require(count && *count == 0, fmt::format("usage reports: {} is not 0", field));
+        m_ledger.require(
+            count && *count == 0, fmt::format("usage reports: {} is {}, not 0", field, Testbed::describe(count)));
     }
     for (int i = 0; i < m_options.system.size.engines; ++i) {
         auto name = fmt::format("e{}", i);
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -34,7 +34,7 @@
     asio::awaitable<void> checkEnd();
     asio::awaitable<bool> awaitReady(Duration bound);
     asio::awaitable<std::map<std::string, int>> readEffects();
-    asio::awaitable<std::map<std::string, ReportedUsage>> readUsage();
+    asio::awaitable<Outcome<std::map<std::string, ReportedUsage>>> readUsage();
     asio::awaitable<void> wait(Duration);
 
     asio::io_context& m_io;
--- a/tools/scenario/ScenarioRunner.cpp
+++ b/tools/scenario/ScenarioRunner.cpp
@@ -288,10 +288,10 @@
         co_return invalid("expected SUBJECT FIELD");
     }
     auto value = co_await m_testbed.readField(command.words[0], command.words[1]);
-    if (!value) {
+    if (!value && value.error().code == ErrorCode::InvalidArgument) {
         co_return tl::make_unexpected(value.error());
     }
-    fmt::print("{} {} {}\n", command.words[0], command.words[1], json::serialize(*value));
+    fmt::print("{} {} {}\n", command.words[0], command.words[1], Testbed::describe(value));
     co_return Outcome<void>();
 }
 
@@ -308,15 +308,16 @@
     asio::steady_timer timer(m_io);
     while (true) {
         auto actual = co_await m_testbed.readField(words[0], words[1]);
-        if (!actual) {
+        if (!actual && actual.error().code == ErrorCode::InvalidArgument) {
             co_return tl::make_unexpected(actual.error());
         }
-        if (compare(*actual, words[2], words[3])) {
+        // What a process does not answer is null, which matches no number or text.
+        if (compare(actual.value_or(json::value()), words[2], words[3])) {
             co_return Outcome<void>();
         }
         if (once || std::chrono::steady_clock::now() > end) {
             co_return invalid(fmt::format(
-                "{} {} is {}, expected {} {}", words[0], words[1], json::serialize(*actual), words[2], words[3]));
+                "{} {} is {}, expected {} {}", words[0], words[1], Testbed::describe(actual), words[2], words[3]));
         }
         timer.expires_after(pollInterval);
         co_await timer.async_wait(useTuple);
--- a/tools/scenario/Testbed.h
+++ b/tools/scenario/Testbed.h
@@ -42,8 +42,11 @@
     // Ends every daemon with SIGTERM, waits and prints the exit codes; an error names those that failed.
     asio::awaitable<Outcome<void>> stopDaemons();
 
-    // A field of a request, a group of requests, a daemon or a stand-in.
+    // A field of a request, a group of requests, a daemon or a stand-in. InvalidArgument if there is no such subject or
+    // field, another error if the process does not tell it.
     asio::awaitable<Outcome<boost::json::value>> readField(std::string subject, std::string field);
+    // A field's value or why it could not be read, for messages.
+    static std::string describe(const Outcome<boost::json::value>& field);
     // The address under which a program was last seen listening, such as that of the object store.
     std::string addressOf(const std::string& name) const;
     const std::string& lastOutput() const { return m_lastOutput; }
--- a/tools/scenario/TestbedFields.cpp
+++ b/tools/scenario/TestbedFields.cpp
@@ -71,6 +71,11 @@
     co_return co_await readStatistic(subject, field);
 }
 
+std::string Testbed::describe(const Outcome<json::value>& field)
+{
+    return field ? json::serialize(*field) : fmt::format("unknown ({})", field.error().message);
+}
+
 Outcome<json::value> Testbed::readRequestField(const Calls& calls, const std::string& field) const
 {
     const auto& first = calls.front()->result();
@@ -117,7 +122,8 @@
 {
     auto endpoint = parseEndpoint(address);
     if (!endpoint) {
-        co_return tl::make_unexpected(endpoint.error());
+        // The process does not listen yet.
+        co_return makeError(ErrorCode::Unavailable, endpoint.error().message);
     }
     HttpCall call;
     call.target = std::move(target);
@@ -140,7 +146,7 @@
     }
     if (field.starts_with("metric:")) {
         auto text = co_await fetch(address, "/metrics");
-        co_return text ? json::value(sumMetric(*text, field.substr(7))) : json::value();
+        co_return text.map([&](const std::string& it) { return json::value(sumMetric(it, field.substr(7))); });
     }
     co_return unknownField(name, field);
 }
@@ -149,11 +155,15 @@
 {
     auto text = co_await fetch(addressOf(name), "/stats");
     if (!text) {
-        co_return json::value();
+        co_return tl::make_unexpected(text.error());
     }
     error_code ec;
     auto stats = json::parse(*text, ec);
-    const auto* value = ec ? nullptr : stats.find_pointer("/" + field, ec);
+    if (ec) {
+        co_return makeError(
+            ErrorCode::ProtocolViolation, fmt::format("the statistics of {} are no JSON: {}", name, ec.message()));
+    }
+    const auto* value = stats.find_pointer("/" + field, ec);
     // A statistic that does not exist yet is null, which no comparison with a number or a text accepts.
     co_return value ? *value : json::value();
 }
