Keep signals from ending a daemon that has no handler for them

From reading the same code: a SIGHUP in a shutdown ended the loop of reloads and with it the handler, so that the next SIGHUP ended the process at once and cut off its requests; one that came before the handler was set ended a daemon while it started.

Cause: the default action of these signals, in the times without a handler.

Change: SIGHUP is blocked until the handlers are set, reloads go on during the shutdown, and SIGTERM, SIGINT and SIGHUP are blocked once the loop has ended.

Result: scenarios/signals-in-series.scn ends with code 129 on the daemon before and with 0 now, its four streams complete.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -4,6 +4,7 @@
 
 #include <prometheus/text_serializer.h>
 
+#include "daemon/SignalMask.h"
 #include "http/Endpoint.h"
 #include "observe/LogLine.h"
 
@@ -271,10 +272,10 @@
     co_await drained.async_wait(useTuple);
 }
 
-asio::awaitable<void> Daemon::reloadOnSignal(LoadSettings load)
+asio::awaitable<void> Daemon::reloadOnSignal(asio::signal_set& signals, LoadSettings load)
 {
-    asio::signal_set signals(m_io, SIGHUP);
-    while (!m_leaving) {
+    // Goes on during the shutdown: a reload signal without a handler would end the process.
+    while (true) {
         auto [ec, signal] = co_await signals.async_wait(useTuple);
         if (ec) {
             co_return;
@@ -296,9 +297,11 @@
 
 void Daemon::run(const LoadSettings& load)
 {
-    asio::co_spawn(m_io, reloadOnSignal(load), asio::detached);
-    asio::signal_set signals(m_io, SIGTERM, SIGINT);
-    signals.async_wait([this](error_code ec, int) {
+    asio::signal_set reloadSignals(m_io, SIGHUP);
+    asio::signal_set stopSignals(m_io, SIGTERM, SIGINT);
+    unblockSignals({ SIGHUP });
+    asio::co_spawn(m_io, reloadOnSignal(reloadSignals, load), asio::detached);
+    stopSignals.async_wait([this](error_code ec, int) {
         if (!ec) {
             asio::co_spawn(m_io, shutDown(), asio::detached);
         }
@@ -313,6 +316,8 @@
     for (auto& thread : m_traffic) {
         thread->stop();
     }
+    // The handlers end with this function.
+    blockSignals({ SIGTERM, SIGINT, SIGHUP });
     LogLine(LogLevel::Info, "stopped");
 }
 
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -52,7 +52,7 @@
     asio::awaitable<void> drainTraffic();
     asio::awaitable<void> handleAdmin(HttpExchange&);
     asio::awaitable<void> shutDown();
-    asio::awaitable<void> reloadOnSignal(LoadSettings);
+    asio::awaitable<void> reloadOnSignal(asio::signal_set&, LoadSettings);
 
     DaemonSettings m_settings;
     asio::io_context m_io;
--- a/src/daemon/DaemonCommand.cpp
+++ b/src/daemon/DaemonCommand.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "core/CommandLine.h"
+#include "daemon/SignalMask.h"
 #include "settings/JsonReader.h"
 #include "settings/SettingsFile.h"
 
@@ -29,6 +30,8 @@
         fmt::print(stderr, "give one of --config=FILE and --check-config=FILE\n");
         return exitUsage;
     }
+    // A reload that comes while the daemon starts waits for the handler.
+    blockSignals({ SIGHUP });
     return run(check.empty() ? config : check, !check.empty());
 }
 
--- a/tools/scenario/ScenarioRunner.cpp
+++ b/tools/scenario/ScenarioRunner.cpp
@@ -191,7 +191,7 @@
         co_return co_await m_testbed.unregister(name);
     }
     static const std::map<std::string, int> signals { { "kill", SIGKILL }, { "pause", SIGSTOP }, { "resume", SIGCONT },
-        { "terminate", SIGTERM } };
+        { "terminate", SIGTERM }, { "reload", SIGHUP } };
     if (auto it = signals.find(verb); it != signals.end()) {
         co_return m_testbed.sendSignal(name, it->second);
     }
