Let the soak kill an engine stand-in while it starts

The plan kills engine 1 at 22.560 s for 844 ms and again at 23.430 s, 26 ms after the first fault started it again; the log of that engine has no line of the start that was killed. So the failed start is the second fault's doing, and that fault starts the engine once more.

Change: a start that fails while another fault holds the engine down is no violation; the start that ends that fault still is.

--- a/soak/SoakFaults.cpp
+++ b/soak/SoakFaults.cpp
@@ -119,7 +119,8 @@
     co_await wait(lasts);
     if (--m_active[name] == 0) {
         auto started = co_await startEngine(fault.engine);
-        m_ledger.require(started.has_value(), "an engine stand-in did not start again");
+        // The next fault may kill it while it starts, and starts it again then.
+        m_ledger.require(started || m_active[name] > 0, "an engine stand-in did not start again");
     }
 }
 
