--- a/soak/PromiseLedger.cpp
+++ b/soak/PromiseLedger.cpp
@@ -53,6 +53,15 @@
     m_killsOfAll.push_back(now);
 }
 
+void PromiseLedger::noteStoreDown(bool down, MonotonicTime now)
+{
+    if (down) {
+        m_outages.push_back({ now, MonotonicTime::max() });
+    } else {
+        m_outages.back().to = now;
+    }
+}
+
 void PromiseLedger::noteCall(CallRecord call)
 {
     m_completed += isComplete(call);
@@ -159,10 +168,19 @@
     }
 }
 
+Duration PromiseLedger::storeTime(MonotonicTime from, MonotonicTime to) const
+{
+    Duration up = to - from;
+    for (const auto& outage : m_outages) {
+        up -= std::max(Duration(0), Duration(std::min(outage.to, to) - std::max(outage.from, from)));
+    }
+    return up;
+}
+
 bool PromiseLedger::mayBeUnrecorded(MonotonicTime ended) const
 {
     return std::ranges::any_of(
-        m_killsOfAll, [&](auto killed) { return ended <= killed && ended + m_bounds.unrecorded >= killed; });
+        m_killsOfAll, [&](auto killed) { return ended <= killed && storeTime(ended, killed) <= m_bounds.unrecorded; });
 }
 
 std::vector<PromiseLedger::UsageSpan> PromiseLedger::compareUsage(
--- a/soak/PromiseLedger.h
+++ b/soak/PromiseLedger.h
@@ -48,6 +48,7 @@
         // Share of a team's completed requests that reports may lack, when instances are killed.
         double usageShare = 0.05;
         // Usage that is not yet in the store is lost when all instances die at once: a window and the time of a write.
+        // Time in which the store is down does not count.
         Duration unrecorded = std::chrono::seconds(2);
     };
 
@@ -60,6 +61,7 @@
     // The process was killed: what it had not handed on is lost.
     void noteKill(const std::string& daemon, MonotonicTime now);
     void noteKillOfAll(MonotonicTime now);
+    void noteStoreDown(bool down, MonotonicTime now);
     void noteCall(CallRecord);
     // The number of the configuration in force on one process, whose name is unique for each start.
     void noteConfiguration(const std::string& process, std::int64_t number);
@@ -95,6 +97,13 @@
     };
 
     std::vector<UsageSpan> compareUsage(const std::map<std::string, ReportedUsage>&) const;
+    struct Outage {
+        MonotonicTime from;
+        MonotonicTime to; // MonotonicTime::max() while it lasts
+    };
+
+    // How long the store was up between the two.
+    Duration storeTime(MonotonicTime from, MonotonicTime to) const;
     // Whether the usage of a call that ended then may be lost.
     bool mayBeUnrecorded(MonotonicTime ended) const;
     void checkAnswer(const CallRecord&);
@@ -112,6 +121,7 @@
     std::map<std::string, Disturbance> m_disturbances; // by daemon
     std::multimap<std::string, MonotonicTime> m_kills;
     std::vector<MonotonicTime> m_killsOfAll;
+    std::vector<Outage> m_outages; // of the store, one after the other
     std::map<std::string, std::int64_t> m_configurations; // by process
     std::vector<std::string> m_violations;
 };
--- a/soak/PromiseLedgerTest.cpp
+++ b/soak/PromiseLedgerTest.cpp
@@ -133,4 +133,18 @@
     REQUIRE(ledger.isUsageWhole({ { "red", { 80, 640 } } }));
 }
 
+TEST_CASE("usage that no store took before all instances died at once may be lost")
+{
+    PromiseLedger ledger({});
+    for (int i = 0; i < 100; ++i) {
+        ledger.noteCall(makeCall(CallKind::Stream, "a", start + std::chrono::milliseconds(100 * i)));
+    }
+    // The store is up for the last second, and for the one before the outage.
+    ledger.noteStoreDown(true, start + std::chrono::seconds(5));
+    ledger.noteStoreDown(false, start + std::chrono::seconds(9));
+    ledger.noteKillOfAll(start + std::chrono::seconds(10));
+    REQUIRE_FALSE(ledger.isUsageWhole({ { "red", { 37, 296 } } }));
+    REQUIRE(ledger.isUsageWhole({ { "red", { 39, 312 } } }));
+}
+
 } // namespace lagoonspoke::soak
--- a/soak/SoakFaults.cpp
+++ b/soak/SoakFaults.cpp
@@ -173,11 +173,14 @@
 
 asio::awaitable<void> SoakSystem::apply(StoreDown, Duration lasts)
 {
-    ++m_active["store down"];
     disturb(-1, true);
-    co_await postFault("store", "down", true);
+    if (m_active["store down"]++ == 0) {
+        m_ledger.noteStoreDown(true, readMonotonicClock());
+        co_await postFault("store", "down", true);
+    }
     co_await wait(lasts);
     if (--m_active["store down"] == 0) {
+        m_ledger.noteStoreDown(false, readMonotonicClock());
         co_await postFault("store", "down", false);
     }
     disturb(-1, false);
