Keep a leaving caller's timer from touching a call that has ended

A timer that has expired can no longer be cancelled, so when a call ends at that moment the handler runs after the call and its record are gone. Writing there may also have damaged other data of a run.

Change: the handler does nothing once the call is over.

No test of its own: the moment cannot be set from outside.

--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <memory>
 
 #include <absl/random/distributions.h>
 #include <fmt/format.h>
@@ -189,16 +190,19 @@
     auto address = parseEndpoint(m_system.callerAddress(daemon));
     StreamingCall streaming(*address, std::move(call), callBound, &connection);
     asio::steady_timer leaving(m_io);
+    // The timer's handler may be queued already when the call ends.
+    auto isOver = std::make_shared<bool>(false);
     if (absl::Bernoulli(random, leavingShare)) {
         leaving.expires_after(std::chrono::milliseconds(absl::Uniform(random, 5, 200)));
-        leaving.async_wait([&](error_code ec) {
-            if (!ec) {
+        leaving.async_wait([&, isOver](error_code ec) {
+            if (!ec && !*isOver) {
                 record.left = true;
                 streaming.leave();
             }
         });
     }
     co_await streaming.run();
+    *isOver = true;
     leaving.cancel();
     record.ended = readMonotonicClock();
     record.left = record.left || record.ended - record.started >= callBound;
