Try one suspect of a prompt part in each scheduler run

Cause: after servers crash in a burst, the parts of their requests are suspect and requests with them wait among the suspects. Each scheduler run chose a server for each of these, although the first that found none shows that the others with its parts find none either, and compared their parts with a list.

Change: a suspect that finds no server keeps the later ones with its suspect parts from being tried in the same run; parts on trial are a set.

No unit test shows it, as the cost of a decision is not measured there.

--- a/src/dispatch/GrantScheduler.cpp
+++ b/src/dispatch/GrantScheduler.cpp
@@ -55,7 +55,7 @@
 void GrantScheduler::grantSuspects(Tier floor, MonotonicTime now)
 {
     m_state.selector.beginSchedulerRun(fromSeconds(m_state.times.meanSlotSeconds()));
-    m_partsOnTrial = partsOnTrial(now);
+    findPartsOnTrial(now);
     bool waitsForIsolation = false;
     auto& suspects = m_state.suspects;
     for (auto it = suspects.begin(); it != suspects.end();) {
@@ -71,7 +71,7 @@
         }
         auto waiting = std::move(*it);
         it = suspects.erase(it);
-        std::ranges::copy(waiting->place.parts, std::back_inserter(m_partsOnTrial));
+        addSuspectParts(waiting->place, now);
         grant(std::move(waiting), *server, false, now);
     }
     m_isolatesServers = waitsForIsolation;
@@ -92,21 +92,34 @@
         }
         return server;
     }
-    bool isOnTrial = std::ranges::any_of(waiting.place.parts, [&](Fingerprint it) {
-        return m_state.partQuarantine.isSuspect(it, now) && std::ranges::count(m_partsOnTrial, it) > 0;
-    });
-    return isOnTrial ? nullptr : m_state.selector.choose(waiting, now);
+    if (std::ranges::any_of(waiting.place.parts, [&](Fingerprint it) { return m_partsOnTrial.contains(it); })) {
+        return nullptr;
+    }
+    auto* server = m_state.selector.choose(waiting, now);
+    if (!server) {
+        // The next requests with these parts would not find one either.
+        addSuspectParts(waiting.place, now);
+    }
+    return server;
+}
+
+void GrantScheduler::addSuspectParts(const PlaceRequest& place, MonotonicTime now)
+{
+    for (auto part : place.parts) {
+        if (m_state.partQuarantine.isSuspect(part, now)) {
+            m_partsOnTrial.insert(part);
+        }
+    }
 }
 
-std::vector<Fingerprint> GrantScheduler::partsOnTrial(MonotonicTime now) const
+void GrantScheduler::findPartsOnTrial(MonotonicTime now)
 {
-    std::vector<Fingerprint> parts;
+    m_partsOnTrial.clear();
     for (const auto& [request, granted] : m_state.grants.all()) {
-        if (granted.holdsSlot && !granted.isAnswered(now) && m_state.hasSuspectPart(granted.place, now)) {
-            std::ranges::copy(granted.place.parts, std::back_inserter(parts));
+        if (granted.holdsSlot && !granted.isAnswered(now)) {
+            addSuspectParts(granted.place, now);
         }
     }
-    return parts;
 }
 
 bool GrantScheduler::grantGuaranteed(Tier floor, MonotonicTime now)
--- a/src/dispatch/GrantScheduler.h
+++ b/src/dispatch/GrantScheduler.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <absl/container/flat_hash_set.h>
+
 #include "dispatch/DispatchState.h"
 
 namespace lagoonspoke {
@@ -23,9 +25,10 @@
     void grantSuspects(Tier floor, MonotonicTime now);
     // The server for a suspect request, or null when it has to wait.
     ServerState* chooseForSuspect(const WaitingRequest&, bool& waitsForIsolation, MonotonicTime now);
-    // Suspect parts of granted requests that are not answered yet. One request at a time shows whether a part crashes
-    // its server.
-    std::vector<Fingerprint> partsOnTrial(MonotonicTime now) const;
+    // Collects the suspect parts of granted requests that are not answered yet. One request at a time shows whether a
+    // part crashes its server.
+    void findPartsOnTrial(MonotonicTime now);
+    void addSuspectParts(const PlaceRequest&, MonotonicTime now);
     bool grantGuaranteed(Tier floor, MonotonicTime now);
     bool grantByTier(Tier floor, MonotonicTime now);
     int reservedSlots(Tier, MonotonicTime now);
@@ -39,7 +42,8 @@
     int m_totalSlots = 0;
     int m_freeSlots = 0;
     bool m_isolatesServers = false; // servers may be isolated for suspect requests
-    std::vector<Fingerprint> m_partsOnTrial; // in the current run
+    // In the current run; includes the parts of suspects that found no server in it.
+    absl::flat_hash_set<Fingerprint> m_partsOnTrial;
 };
 
 } // namespace lagoonspoke
