Read the request limit of a backend server and log its changes

Cause: a server in need names in its answers the requests a second that it takes from all instances together. Nothing read that field, so the logs could not tell whether a server that got too many requests had been heard at all, nor when.

Change: dialects read the limit (the lowest valid rate; a value that is no rate is logged and leaves the last one in force). Entries report it to the domain's dispatcher, which keeps it by server and logs request_limit_changed. Nothing is decided by it yet. An answer without a limit ends one only if its request began after the limit was heard of, as answers overtake each other.

--- a/include/lagoonspoke/core/Units.h
+++ b/include/lagoonspoke/core/Units.h
@@ -32,6 +32,13 @@
     bool isHigherThan(Tier other) const { return level < other.level; }
 };
 
+// Requests per second; finite and not negative.
+struct RequestRate {
+    double perSecond = 0;
+
+    auto operator<=>(const RequestRate&) const = default;
+};
+
 // A hash that identifies requests with the same team, route and body.
 enum class Fingerprint : std::uint64_t {};
 
--- a/include/lagoonspoke/dispatch/Messages.h
+++ b/include/lagoonspoke/dispatch/Messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -57,6 +58,9 @@
     bool finished = false;
     FinishOutcome outcome = FinishOutcome::Completed;
     Tokens promptTokens; // as counted by the server; with finished only
+    // Whether the server's answer showed its request limit, or that it has none.
+    bool limitSeen = false;
+    std::optional<RequestRate> limit = {}; // for the requests of all instances together
 };
 
 // Sent when the caller left or the deadline passed while the request was waiting.
--- a/src/daemon/ControlLoop.h
+++ b/src/daemon/ControlLoop.h
@@ -52,6 +52,7 @@
     void execute(RouterAction&);
     void execute(const DomainId&, std::vector<DispatchAction>);
     void logRefusal(const DomainId&, const SendToEntry&, MonotonicTime now) const;
+    static void logRequestLimit(const DomainId&, const RequestLimitChanged&);
     static void logQuarantine(const DomainId&, const PublishQuarantine&);
     void publishFloor(const DomainId&, Tier);
     // Hands the event that makeEvent gives for the domain to every dispatcher.
--- a/src/daemon/ControlLoopLog.cpp
+++ b/src/daemon/ControlLoopLog.cpp
@@ -47,6 +47,16 @@
         .add("configuration", m_snapshot ? m_snapshot->number() : 0);
 }
 
+void ControlLoop::logRequestLimit(const DomainId& domain, const RequestLimitChanged& change)
+{
+    LogLine(LogLevel::Info, "request_limit_changed")
+        .add("domain", domain.value())
+        .add("server", change.server.value())
+        .add("limit_per_s", change.limit ? fmt::format("{}", change.limit->perSecond) : "none")
+        .add("request", change.request.value())
+        .add("entry", change.entry.value());
+}
+
 void ControlLoop::logQuarantine(const DomainId& domain, const PublishQuarantine& quarantine)
 {
     LogLine(LogLevel::Warning, "quarantined")
@@ -78,6 +88,7 @@
             .add("servers", summary.servers)
             .add("leaving", summary.leavingServers)
             .add("ejected", summary.ejectedServers)
+            .add("limited", summary.limitedServers)
             .add("isolated", summary.isolatedServers)
             .add("busy_slots", summary.busySlots)
             .add("reading", summary.serversWithUnreadPrompts)
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -100,7 +100,15 @@
     Tier floor;
 };
 
-using DispatchAction = std::variant<SendToEntry, PublishQuarantine, PublishFloor>;
+// For the log: a backend server named another request limit, or answered without one.
+struct RequestLimitChanged {
+    BackendServerId server;
+    std::optional<RequestRate> limit;
+    RequestId request; // whose answer showed it
+    InstanceId entry;
+};
+
+using DispatchAction = std::variant<SendToEntry, PublishQuarantine, PublishFloor, RequestLimitChanged>;
 
 struct DispatchLoad {
     // Granted and waiting requests.
@@ -122,6 +130,7 @@
     int servers = 0;
     int leavingServers = 0;
     int ejectedServers = 0;
+    int limitedServers = 0; // that name a request limit
     int isolatedServers = 0; // reserved for a suspect request, or running one
     int busySlots = 0;
     int serversWithUnreadPrompts = 0; // with prompts that are not fully read yet
--- a/src/dispatch/GrantTracker.cpp
+++ b/src/dispatch/GrantTracker.cpp
@@ -46,6 +46,10 @@
         granted.answerBeganAt = now;
     }
     auto* server = m_state.pool.find(granted.server);
+    if (server && progress.limitSeen && server->limit.recordAnswer(progress.limit, granted.grantedAt, now)) {
+        m_state.actions.emplace_back(
+            RequestLimitChanged { granted.server, progress.limit, granted.place.request, granted.entry });
+    }
     if (!granted.holdsSlot && !progress.finished) {
         // The grant expired because its first report was late, but it is in use.
         granted.holdsSlot = true;
--- a/src/dispatch/PolicyDispatcher.cpp
+++ b/src/dispatch/PolicyDispatcher.cpp
@@ -343,6 +343,7 @@
         ++summary.servers;
         summary.leavingServers += state.server.leaving ? 1 : 0;
         summary.ejectedServers += state.health.isEjected() ? 1 : 0;
+        summary.limitedServers += state.limit.rate() ? 1 : 0;
         summary.isolatedServers += state.isolated ? 1 : 0;
         summary.busySlots += state.inFlight;
         summary.serversWithUnreadPrompts += state.pendingWork > 0 ? 1 : 0;
--- a/src/dispatch/ServerState.h
+++ b/src/dispatch/ServerState.h
@@ -5,6 +5,7 @@
 
 #include "dispatch/PrefixCache.h"
 #include "dispatch/PrefixIndex.h"
+#include "dispatch/RequestLimit.h"
 #include "dispatch/ServerHealth.h"
 #include "lagoonspoke/dispatch/BackendServer.h"
 
@@ -50,6 +51,7 @@
     bool isolated = false; // reserved for a suspect request, or running one
     bool runsSuspect = false;
     ServerHealth health;
+    RequestLimit limit;
     PrefixIndex prefix; // from the engine's cache events
     PrefixCache cache; // from the prompts sent to the engine
     int gapSensitive = 0; // requests in flight whose class has a short gap target
--- a/src/entry/CallerDialect.cpp
+++ b/src/entry/CallerDialect.cpp
@@ -1,7 +1,11 @@
 #include "entry/CallerDialect.h"
 
+#include <cmath>
+
 #include <fmt/format.h>
 
+#include "lagoonspoke/core/Text.h"
+
 namespace lagoonspoke {
 
 tl::expected<AdmittedRequest, CallerError> OwnDialect::admitHead(
@@ -21,6 +25,19 @@
     return lagoonspoke::formatBackendHead(request, head);
 }
 
+void readRequestLimit(const http::response_header<>& head, std::string_view headerName, BackendAnswer& answer)
+{
+    auto [it, end] = head.equal_range(beast::string_view(headerName.data(), headerName.size()));
+    for (; it != end; ++it) {
+        auto rate = parseNumber<double>(std::string_view(it->value().data(), it->value().size()));
+        if (!rate || !std::isfinite(*rate) || *rate < 0) {
+            answer.hasInvalidLimit = true;
+        } else if (!answer.limit || *rate < answer.limit->perSecond) {
+            answer.limit = RequestRate { *rate };
+        }
+    }
+}
+
 BackendAnswer OwnDialect::readAnswer(const http::response_header<>& head) const
 {
     BackendAnswer answer;
@@ -29,6 +46,7 @@
         answer.requestId.assign(id.data(), id.size());
     }
     answer.usable = !answer.requestId.empty();
+    readRequestLimit(head, "x-request-limit", answer);
     answer.headers.emplace_back("x-request-id", answer.requestId);
     answer.headers.emplace_back("x-lagoonspoke-run", toString(RunStatus::Ran));
     for (auto& header : copyHeaders(head)) {
--- a/src/entry/CallerDialect.h
+++ b/src/entry/CallerDialect.h
@@ -7,6 +7,7 @@
 #include "entry/RequestAdmission.h"
 #include "http/CallerError.h"
 #include "http/HttpExchange.h"
+#include "lagoonspoke/core/Units.h"
 
 namespace lagoonspoke {
 
@@ -21,9 +22,15 @@
     Execution execution = Execution::Ran;
     // Whether it may be passed on as the answer to the request with that id.
     bool usable = true;
+    // The requests that the server takes from all instances together; empty when it names none, or no valid rate.
+    std::optional<RequestRate> limit;
+    bool hasInvalidLimit = false;
     HeaderList headers; // for the caller, without the content type
 };
 
+// Reads the header with the server's request limit into the answer. Of several valid rates the lowest one counts.
+void readRequestLimit(const http::response_header<>&, std::string_view headerName, BackendAnswer&);
+
 // An error as the caller receives it.
 struct CallerErrorAnswer {
     http::status status = http::status::service_unavailable;
--- a/src/entry/RequestConclusion.cpp
+++ b/src/entry/RequestConclusion.cpp
@@ -26,6 +26,8 @@
     progress.grant = m_grant->grant;
     progress.domain = m_domain;
     progress.outputTokens = m_relay.tokens().output();
+    progress.limitSeen = m_limitSeen;
+    progress.limit = m_limit;
     return progress;
 }
 
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -321,6 +321,8 @@
 RequestRunner::Next RequestRunner::openConnection(OpenConnection action)
 {
     m_attemptStart = readMonotonicClock();
+    m_limitSeen = false;
+    m_limit.reset();
     m_connection = action.fresh ? nullptr : m_services.pool.take(m_grant->address);
     if (m_connection) {
         m_connection->startRequest();
@@ -372,6 +374,22 @@
         || (head.result() == http::status::ok && head[http::field::content_type].starts_with("text/event-stream"));
 }
 
+void RequestRunner::noteLimit(const BackendAnswer& answer)
+{
+    if (answer.hasInvalidLimit) {
+        LogLine(LogLevel::Warning, "request_limit_invalid")
+            .add("request", m_id.value())
+            .add("server", m_server.value())
+            .add("used", answer.limit ? fmt::format("{}", answer.limit->perSecond) : "none");
+    }
+    // A refusal without a limit does not show that the limit has ended, nor does an unreadable one.
+    m_limitSeen = answer.limit || (answer.execution == BackendAnswer::Execution::Ran && !answer.hasInvalidLimit);
+    m_limit = answer.limit;
+    if (m_limit) {
+        m_services.placement.report(makeProgress());
+    }
+}
+
 RequestRunner::Next RequestRunner::awaitAnswer()
 {
     // Bounds the late answers to earlier requests that are skipped.
@@ -400,6 +418,9 @@
             }
             continue;
         }
+        if (answer.execution != BackendAnswer::Execution::OtherServer) {
+            noteLimit(answer);
+        }
         auto status = m_connection->head().result_int();
         if (answer.execution != BackendAnswer::Execution::Ran) {
             co_return AnswerStarted { status, true };
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -81,6 +81,8 @@
     void startDeadline();
     void watchCaller();
     bool isExpectedAnswer(const BackendAnswer&) const;
+    // Reports a request limit to the dispatcher at once.
+    void noteLimit(const BackendAnswer&);
     // Whether the server had the request for long enough to begin on it.
     bool mayHaveBegun() const;
     // The id that backend servers echo.
@@ -129,6 +131,9 @@
     std::string_view m_code = "ok";
     RunStatus m_run = RunStatus::Ran;
     Duration m_retryAfter {};
+    // The request limit that the server named in this attempt, once an answer showed whether it has one.
+    bool m_limitSeen = false;
+    std::optional<RequestRate> m_limit;
 };
 
 } // namespace lagoonspoke
--- a/src/wire/PlacementCodec.cpp
+++ b/src/wire/PlacementCodec.cpp
@@ -1,5 +1,6 @@
 #include "wire/PlacementCodec.h"
 
+#include <cmath>
 #include <cstring>
 #include <optional>
 
@@ -55,6 +56,20 @@
     return hashes;
 }
 
+flatbuffers::Optional<double> writeRate(const std::optional<RequestRate>& rate)
+{
+    return rate ? flatbuffers::Optional<double>(rate->perSecond) : flatbuffers::nullopt;
+}
+
+// Empty when there is none, or no valid one.
+std::optional<RequestRate> readRate(flatbuffers::Optional<double> perSecond)
+{
+    if (!perSecond || !std::isfinite(*perSecond) || *perSecond < 0) {
+        return std::nullopt;
+    }
+    return RequestRate { *perSecond };
+}
+
 std::vector<Tokens> readTokens(const flatbuffers::Vector<std::int64_t>* vector)
 {
     std::vector<Tokens> tokens;
@@ -89,7 +104,7 @@
     auto domain = writeText(builder, it.domain.value());
     return wire::CreateProgress(builder, request, static_cast<std::uint64_t>(it.grant), domain, it.firstByteSeen,
         it.timeToFirstByte.count(), it.outputTokens.count, it.finished, static_cast<std::uint8_t>(it.outcome),
-        it.promptTokens.count);
+        it.promptTokens.count, it.limitSeen, writeRate(it.limit));
 }
 
 flatbuffers::Offset<wire::Withdraw> write(Builder& builder, const Withdraw& it)
@@ -211,6 +226,8 @@
     progress.outputTokens = { it.output_tokens() };
     progress.finished = it.finished();
     progress.promptTokens = { it.prompt_tokens() };
+    progress.limitSeen = it.limit_seen();
+    progress.limit = readRate(it.limit_per_second());
     if (!readEnum(it.outcome(), FinishOutcome::Disconnected, progress.outcome)) {
         return std::nullopt;
     }
--- a/src/wire/WireTest.cpp
+++ b/src/wire/WireTest.cpp
@@ -51,7 +51,8 @@
 {
     DomainId domain("riga/m");
     RequestId request("r1");
-    Progress progress { request, GrantId(4), domain, true, 3ms, { 6 }, true, FinishOutcome::ServerDied, { 8 } };
+    Progress progress { request, GrantId(4), domain, true, 3ms, { 6 }, true, FinishOutcome::ServerDied, { 8 }, true,
+        RequestRate { 2.5 } };
     Resync resync { InstanceId("e1"), domain, { makePlace() },
         { { makePlace(), GrantId(5), BackendServerId("s3"), { 9 } } } };
     return { { domain, makePlace() }, { domain, progress }, { domain, Withdraw { request, domain } },
@@ -108,6 +109,8 @@
     auto progress = std::get<Progress>(decodePlacementPacket(encodePlacementPacket(makePackets()[1]))->message);
     REQUIRE(progress.outcome == FinishOutcome::ServerDied);
     REQUIRE(progress.outputTokens.count == 6);
+    REQUIRE(progress.limitSeen);
+    REQUIRE(progress.limit == RequestRate { 2.5 });
     REQUIRE(progress.promptTokens.count == 8);
 }
 
--- a/src/wire/placement_generated.h
+++ b/src/wire/placement_generated.h
@@ -397,7 +397,9 @@
     VT_OUTPUT_TOKENS = 14,
     VT_FINISHED = 16,
     VT_OUTCOME = 18,
-    VT_PROMPT_TOKENS = 20
+    VT_PROMPT_TOKENS = 20,
+    VT_LIMIT_SEEN = 22,
+    VT_LIMIT_PER_SECOND = 24
   };
   const flatbuffers::String *request() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST);
@@ -426,6 +428,12 @@
   int64_t prompt_tokens() const {
     return GetField<int64_t>(VT_PROMPT_TOKENS, 0);
   }
+  bool limit_seen() const {
+    return GetField<uint8_t>(VT_LIMIT_SEEN, 0) != 0;
+  }
+  flatbuffers::Optional<double> limit_per_second() const {
+    return GetOptional<double, double>(VT_LIMIT_PER_SECOND);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST) &&
@@ -439,6 +447,8 @@
            VerifyField<uint8_t>(verifier, VT_FINISHED, 1) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
            VerifyField<int64_t>(verifier, VT_PROMPT_TOKENS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LIMIT_SEEN, 1) &&
+           VerifyField<double>(verifier, VT_LIMIT_PER_SECOND, 8) &&
            verifier.EndTable();
   }
 };
@@ -474,6 +484,12 @@
   void add_prompt_tokens(int64_t prompt_tokens) {
     fbb_.AddElement<int64_t>(Progress::VT_PROMPT_TOKENS, prompt_tokens, 0);
   }
+  void add_limit_seen(bool limit_seen) {
+    fbb_.AddElement<uint8_t>(Progress::VT_LIMIT_SEEN, static_cast<uint8_t>(limit_seen), 0);
+  }
+  void add_limit_per_second(double limit_per_second) {
+    fbb_.AddElement<double>(Progress::VT_LIMIT_PER_SECOND, limit_per_second);
+  }
   explicit ProgressBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -495,14 +511,18 @@
     int64_t output_tokens = 0,
     bool finished = false,
     uint8_t outcome = 0,
-    int64_t prompt_tokens = 0) {
+    int64_t prompt_tokens = 0,
+    bool limit_seen = false,
+    flatbuffers::Optional<double> limit_per_second = flatbuffers::nullopt) {
   ProgressBuilder builder_(_fbb);
+  if(limit_per_second) { builder_.add_limit_per_second(*limit_per_second); }
   builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_output_tokens(output_tokens);
   builder_.add_time_to_first_byte_ns(time_to_first_byte_ns);
   builder_.add_grant(grant);
   builder_.add_domain(domain);
   builder_.add_request(request);
+  builder_.add_limit_seen(limit_seen);
   builder_.add_outcome(outcome);
   builder_.add_finished(finished);
   builder_.add_first_byte_seen(first_byte_seen);
@@ -519,7 +539,9 @@
     int64_t output_tokens = 0,
     bool finished = false,
     uint8_t outcome = 0,
-    int64_t prompt_tokens = 0) {
+    int64_t prompt_tokens = 0,
+    bool limit_seen = false,
+    flatbuffers::Optional<double> limit_per_second = flatbuffers::nullopt) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   return lagoonspoke::wire::CreateProgress(
@@ -532,7 +554,9 @@
       output_tokens,
       finished,
       outcome,
-      prompt_tokens);
+      prompt_tokens,
+      limit_seen,
+      limit_per_second);
 }
 
 struct Withdraw FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
