Keep grants and local placements within the limits that servers name

Cause: the dispatcher bounds what runs at a server, never what comes to it.

Change: a bucket for each limited server, charged by every grant, that starts empty and lets one second's requests through at once. Servers without room count as full for the choice of a server, reserves, the predicted wait and refusals. New dispatchers get the limits from the entries' state. Entries that place requests by themselves use their share in turns at random phases.

--- a/include/lagoonspoke/dispatch/Messages.h
+++ b/include/lagoonspoke/dispatch/Messages.h
@@ -84,6 +84,13 @@
     Duration age {};
 };
 
+// A request limit that an entry knows of, so that a new dispatcher keeps to it from the start.
+struct KnownLimit {
+    BackendServerId server;
+    RequestRate limit;
+    Duration age {}; // since an answer named it last
+};
+
 // Sent by an entry to a new dispatcher of the domain: all its waiting requests and active grants there.
 struct Resync {
     InstanceId entry;
@@ -91,6 +98,7 @@
     std::vector<PlaceRequest> waiting;
     std::vector<HeldGrant> held;
     std::vector<ReadPart> parts = {}; // least recently used first
+    std::vector<KnownLimit> limits = {};
 };
 
 struct Grant {
--- a/src/dispatch/DispatchState.cpp
+++ b/src/dispatch/DispatchState.cpp
@@ -114,7 +114,8 @@
 double DispatchState::predictedWait(Tier tier, MonotonicTime now)
 {
     auto slotSeconds = [&](const auto& key) { return times.meanSlotSecondsOf(key); };
-    auto waitForSlot = predictedWaitFor(tier, 0, std::max(1, pool.expectedSlots()), slotSeconds, now);
+    auto slots = pool.expectedSlots();
+    auto waitForSlot = predictedWaitFor(tier, 0, slots > 0 ? slots : 1, slotSeconds, now);
     if (!pool.hasPromptEngines()) {
         return waitForSlot;
     }
--- a/src/dispatch/FallbackPlacer.cpp
+++ b/src/dispatch/FallbackPlacer.cpp
@@ -18,6 +18,43 @@
 void FallbackPlacer::setServers(std::vector<BackendServer> servers)
 {
     m_servers = std::move(servers);
+    std::erase_if(
+        m_limits, [&](const auto& it) { return !std::ranges::count(m_servers, it.first, &BackendServer::id); });
+}
+
+bool FallbackPlacer::recordAnswer(
+    const BackendServerId& server, const std::optional<RequestRate>& rate, MonotonicTime grantedAt, MonotonicTime now)
+{
+    auto it = m_limits.find(server);
+    if (it == m_limits.end()) {
+        if (!rate) {
+            return false;
+        }
+        it = m_limits.emplace(server, LimitShare { {}, RequestTurns(m_random()) }).first;
+    }
+    return it->second.limit.recordAnswer(rate, grantedAt, now);
+}
+
+std::vector<KnownLimit> FallbackPlacer::limits(const DomainId& domain, MonotonicTime now) const
+{
+    std::vector<KnownLimit> limits;
+    for (const auto& server : m_servers) {
+        auto it = m_limits.find(server.id);
+        if (it != m_limits.end() && it->second.limit.rate() && serves(server, domain)) {
+            limits.push_back({ server.id, *it->second.limit.rate(), now - it->second.limit.heardAt() });
+        }
+    }
+    return limits;
+}
+
+bool FallbackPlacer::isWithinLimit(const BackendServerId& server, MonotonicTime now) const
+{
+    auto it = m_limits.find(server);
+    if (it == m_limits.end() || !it->second.limit.rate()) {
+        return true;
+    }
+    auto share = it->second.limit.rate()->perSecond / static_cast<double>(m_instanceCount);
+    return it->second.turns.hasTurn(share, now);
 }
 
 void FallbackPlacer::receiveFloor(const DomainId& domain, const InstanceId& from, Tier tier, MonotonicTime now)
@@ -90,7 +127,8 @@
             continue;
         }
         slots += static_cast<std::size_t>(server.slots);
-        if (inFlightOn(server.id) < server.slots && !std::ranges::count(place.excluded, server.id)) {
+        if (inFlightOn(server.id) < server.slots && !std::ranges::count(place.excluded, server.id)
+            && isWithinLimit(server.id, now)) {
             available.push_back(&server);
         }
     }
@@ -102,7 +140,12 @@
     std::vector<const BackendServer*> candidates;
     std::ranges::sample(available, std::back_inserter(candidates), 2, m_random);
     auto load = [&](const BackendServer* it) { return static_cast<double>(inFlightOn(it->id)) / it->slots; };
-    return candidates.size() == 2 && load(candidates[1]) < load(candidates[0]) ? candidates[1] : candidates[0];
+    const auto* chosen
+        = candidates.size() == 2 && load(candidates[1]) < load(candidates[0]) ? candidates[1] : candidates[0];
+    if (auto it = m_limits.find(chosen->id); it != m_limits.end() && it->second.limit.rate()) {
+        it->second.turns.take(now);
+    }
+    return chosen;
 }
 
 } // namespace lagoonspoke
--- a/src/dispatch/FallbackPlacer.h
+++ b/src/dispatch/FallbackPlacer.h
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include "dispatch/Dispatcher.h"
+#include "dispatch/RequestLimit.h"
+#include "dispatch/RequestTurns.h"
 #include "lagoonspoke/dispatch/BackendServer.h"
 #include "lagoonspoke/dispatch/Messages.h"
 
@@ -39,12 +41,20 @@
     void addInFlight(const BackendServerId&);
     void removeInFlight(const BackendServerId&);
 
+    // An answer to a request of this instance showed whether its server has a request limit; see RequestLimit. Returns
+    // whether the limit changed.
+    bool recordAnswer(
+        const BackendServerId&, const std::optional<RequestRate>&, MonotonicTime grantedAt, MonotonicTime now);
+    // The request limits in force that this instance heard of, of the domain's servers.
+    std::vector<KnownLimit> limits(const DomainId&, MonotonicTime now) const;
+
     // Returns nullptr when the request may not be placed now.
     const BackendServer* choose(const PlaceRequest&, std::size_t placedLocally, MonotonicTime now);
 
 private:
     bool admits(const PlaceRequest&, MonotonicTime now) const;
     int inFlightOn(const BackendServerId&) const;
+    bool isWithinLimit(const BackendServerId&, MonotonicTime now) const;
 
     struct Floor {
         Tier tier;
@@ -61,6 +71,11 @@
     };
     std::map<Fingerprint, KnownQuarantine> m_quarantine;
     std::map<BackendServerId, int> m_inFlight;
+    struct LimitShare {
+        RequestLimit limit;
+        RequestTurns turns;
+    };
+    std::map<BackendServerId, LimitShare> m_limits;
 };
 
 } // namespace lagoonspoke
--- a/src/dispatch/GrantScheduler.cpp
+++ b/src/dispatch/GrantScheduler.cpp
@@ -16,6 +16,7 @@
 void GrantScheduler::grantFreeSlots(MonotonicTime now)
 {
     auto floor = m_state.floors.highest(now);
+    m_state.pool.updateLimits(now);
     for (const auto& [tier, queue] : m_state.queues) {
         if (queue.size() > 0) {
             m_state.shares.recordWaiting(tier, now);
@@ -240,6 +241,8 @@
         server.lastSlowTrial = now;
     }
     ++server.inFlight;
+    server.limit.recordGrant(now);
+    server.limitReached = !server.limit.hasRoom(now);
     --m_freeSlots;
     server.addAwaitingFirstByte(now, granted.promptWork);
     m_state.selector.recordGrant(server);
--- a/src/dispatch/PlacementRouter.cpp
+++ b/src/dispatch/PlacementRouter.cpp
@@ -116,39 +116,41 @@
 
 void PlacementRouter::handleThreadMessage(const ThreadMessage& received, MonotonicTime now)
 {
-    std::visit(Overload {
-                   [&](const PlaceRequest& place) {
-                       erase(place.request);
-                       auto& domain = domainOf(place.domain);
-                       auto& request = m_requests[place.request];
-                       request = { received.thread, place, now, now + place.remaining, {}, false, {}, {}, false, {} };
-                       awaitAcknowledgement(request, domain, now);
-                       sendToOwner(place.domain, place);
-                   },
-                   [&](const Progress& progress) {
-                       sendToOwner(progress.domain, progress);
-                       auto it = m_requests.find(progress.request);
-                       if (it != m_requests.end() && it->second.held && it->second.held->grant == progress.grant) {
-                           it->second.held->outputTokens = progress.outputTokens;
-                           if (progress.finished) {
-                               erase(progress.request);
-                           }
-                       }
-                   },
-                   [&](const Withdraw& withdraw) {
-                       auto it = m_requests.find(withdraw.request);
-                       // The grant may have been in flight to the thread when the thread withdrew the request.
-                       if (it != m_requests.end() && it->second.held && !it->second.placedLocally) {
-                           auto& domain = domainOf(withdraw.domain);
-                           returnGrant(domain.owner.value_or(m_options.self), withdraw.domain, withdraw.request,
-                               it->second.held->grant);
-                       } else {
-                           sendToOwner(withdraw.domain, withdraw);
-                       }
-                       erase(withdraw.request);
-                   },
-                   [](const Resync&) {},
-               },
+    std::visit(
+        Overload {
+            [&](const PlaceRequest& place) {
+                erase(place.request);
+                auto& domain = domainOf(place.domain);
+                auto& request = m_requests[place.request];
+                request = { received.thread, place, now, now + place.remaining, {}, false, {}, {}, false, {}, {} };
+                awaitAcknowledgement(request, domain, now);
+                sendToOwner(place.domain, place);
+            },
+            [&](const Progress& progress) {
+                sendToOwner(progress.domain, progress);
+                auto it = m_requests.find(progress.request);
+                if (it != m_requests.end() && it->second.held && it->second.held->grant == progress.grant) {
+                    it->second.held->outputTokens = progress.outputTokens;
+                    recordLimit(it->second, progress, now);
+                    if (progress.finished) {
+                        erase(progress.request);
+                    }
+                }
+            },
+            [&](const Withdraw& withdraw) {
+                auto it = m_requests.find(withdraw.request);
+                // The grant may have been in flight to the thread when the thread withdrew the request.
+                if (it != m_requests.end() && it->second.held && !it->second.placedLocally) {
+                    auto& domain = domainOf(withdraw.domain);
+                    returnGrant(domain.owner.value_or(m_options.self), withdraw.domain, withdraw.request,
+                        it->second.held->grant);
+                } else {
+                    sendToOwner(withdraw.domain, withdraw);
+                }
+                erase(withdraw.request);
+            },
+            [](const Resync&) {},
+        },
         received.message);
 }
 
@@ -247,7 +249,7 @@
         }
         return;
     }
-    recordGrant(request, grant, from);
+    recordGrant(request, grant, from, now);
     rememberParts(domain, request, grant.server, now);
     if (domain.owner != from) {
         // The current owner still has the request in its queue.
--- a/src/dispatch/PlacementRouter.h
+++ b/src/dispatch/PlacementRouter.h
@@ -112,6 +112,7 @@
         std::optional<HeldGrant> held;
         InstanceId grantedBy;
         bool placedLocally = false;
+        MonotonicTime grantedAt;
         MonotonicTime timerDue; // the key in m_timers
     };
     // The backend server that last processed a chain of shared prompt parts.
@@ -160,7 +161,8 @@
     void sendToOwner(const DomainId&, EntryMessage);
     void sendTo(const InstanceId&, const DomainId&, EntryMessage);
     void returnGrant(const InstanceId& dispatcher, const DomainId&, const RequestId&, GrantId);
-    void recordGrant(Request&, const Grant&, const InstanceId& from);
+    void recordGrant(Request&, const Grant&, const InstanceId& from, MonotonicTime now);
+    void recordLimit(const Request&, const Progress&, MonotonicTime now);
     void clearGrant(Request&);
     static void rememberParts(Domain&, const Request&, const BackendServerId&, MonotonicTime now);
     void erase(const RequestId&);
--- a/src/dispatch/PlacementRouterRequests.cpp
+++ b/src/dispatch/PlacementRouterRequests.cpp
@@ -65,6 +65,7 @@
             resync.parts.push_back({ part.server, part.prefix, part.prefixTokens, now - part.lastUsed });
         }
     }
+    resync.limits = m_fallback.limits(id, now);
     sendToOwner(id, std::move(resync));
 }
 
@@ -139,10 +140,23 @@
     sendTo(dispatcher, id, std::move(progress));
 }
 
-void PlacementRouter::recordGrant(Request& request, const Grant& grant, const InstanceId& from)
+void PlacementRouter::recordLimit(const Request& request, const Progress& progress, MonotonicTime now)
+{
+    const auto& id = request.place.domain;
+    if (!progress.limitSeen || !m_fallback.recordAnswer(request.held->server, progress.limit, request.grantedAt, now)) {
+        return;
+    }
+    // The current dispatcher takes nothing from reports of grants that it does not know.
+    if (auto& domain = domainOf(id); request.placedLocally || domain.owner != request.grantedBy) {
+        scheduleResync(domain, now);
+    }
+}
+
+void PlacementRouter::recordGrant(Request& request, const Grant& grant, const InstanceId& from, MonotonicTime now)
 {
     request.held = HeldGrant { request.place, grant.grant, grant.server, {} };
     request.grantedBy = from;
+    request.grantedAt = now;
     m_fallback.addInFlight(grant.server);
     m_timers.erase({ request.timerDue, request.place.request });
 }
@@ -217,7 +231,7 @@
     // The dispatcher may have the request in its queue although it did not acknowledge it.
     sendToOwner(request.place.domain, Withdraw { id, request.place.domain });
     Grant grant { id, GrantId(localGrantBit | ++m_lastLocalGrant), server->id, server->address, m_options.grantExpiry };
-    recordGrant(request, grant, m_options.self);
+    recordGrant(request, grant, m_options.self, now);
     request.placedLocally = true;
     ++m_placedLocally[request.place.domain];
     m_actions.emplace_back(DeliverToThread { request.thread, std::move(grant) });
--- a/src/dispatch/PolicyDispatcher.cpp
+++ b/src/dispatch/PolicyDispatcher.cpp
@@ -59,7 +59,7 @@
         Overload {
             [&](const EntryMessageReceived& received) { accept(received, now); },
             [&](const EntryLost& lost) { loseEntry(lost.entry, now); },
-            [&](const ServersChanged& changed) { replaceServers(changed.servers); },
+            [&](const ServersChanged& changed) { replaceServers(changed.servers, now); },
             [&](const ConfigurationChanged& changed) {
                 m_state.snapshot = changed.snapshot;
                 if (m_state.snapshot) {
@@ -85,7 +85,7 @@
 {
     recordTime(now);
     if (now >= m_lastRateUpdate + rateUpdateInterval) {
-        m_state.pool.updateRates();
+        m_state.pool.updateRates(m_state.times.meanSlotSeconds());
         m_lastRateUpdate = now;
         m_tracker.clearAnsweredParts(now);
     }
@@ -203,6 +203,12 @@
 void PolicyDispatcher::resync(const DataCentreId& dataCentre, const Resync& resync, MonotonicTime now)
 {
     restorePromptCaches(resync.parts, now);
+    for (const auto& known : resync.limits) {
+        auto* server = m_state.pool.find(known.server);
+        if (server && server->limit.recordReport(known.limit, now - known.age, now)) {
+            m_state.actions.emplace_back(RequestLimitChanged { known.server, known.limit, {}, resync.entry });
+        }
+    }
     for (const auto& held : resync.held) {
         m_tracker.restore(resync.entry, dataCentre, held, now);
     }
@@ -252,10 +258,11 @@
     }
 }
 
-void PolicyDispatcher::replaceServers(const std::vector<BackendServer>& servers)
+void PolicyDispatcher::replaceServers(const std::vector<BackendServer>& servers, MonotonicTime now)
 {
     m_state.pool.replace(servers);
-    m_state.pool.updateRates();
+    m_state.pool.updateLimits(now);
+    m_state.pool.updateRates(m_state.times.meanSlotSeconds());
     m_tracker.recountSlots();
     m_tracker.revokeOnLeavingServers();
 }
--- a/src/dispatch/PolicyDispatcher.h
+++ b/src/dispatch/PolicyDispatcher.h
@@ -35,7 +35,7 @@
     // Restores what is known of the servers' prompt caches from an entry's records, after a takeover.
     void restorePromptCaches(const std::vector<ReadPart>&, MonotonicTime now);
     void loseEntry(const InstanceId&, MonotonicTime now);
-    void replaceServers(const std::vector<BackendServer>&);
+    void replaceServers(const std::vector<BackendServer>&, MonotonicTime now);
     void applyReport(const LoadReported&, MonotonicTime now);
     void applyCacheEvents(const CacheEventsReported&);
     void refuseWithoutServers(MonotonicTime now);
--- a/src/dispatch/Preemptor.cpp
+++ b/src/dispatch/Preemptor.cpp
@@ -63,7 +63,7 @@
             continue;
         }
         const auto* server = m_state.pool.find(granted.server);
-        if (!server || server->slow || !m_state.pool.isUsable(*server)) {
+        if (!server || server->slow || server->limitReached || !m_state.pool.isUsable(*server)) {
             continue;
         }
         if (!victim || rank(granted) < rank(*victim)) {
--- a/src/dispatch/PromptPlacement.cpp
+++ b/src/dispatch/PromptPlacement.cpp
@@ -59,11 +59,14 @@
         * ServerSelector::loadFactor(state.inFlight, state.server.slots));
 }
 
-Duration PromptPlacement::slotWait(const ServerState& state) const
+Duration PromptPlacement::slotWait(ServerState& state, MonotonicTime now) const
 {
     if (state.hasFreeSlot()) {
         return Duration(0);
     }
+    if (state.limitReached) {
+        return state.limit.waitBehind(state.promisedSlots, now);
+    }
     return m_meanSlotTime * (state.promisedSlots + 1) / std::max(1, state.usableSlots);
 }
 
@@ -85,7 +88,7 @@
         return false;
     }
     if (state.health.isEjected()) {
-        return state.health.isProbeDue(now) && waiting.place.idempotent;
+        return state.isProbeDue(now) && waiting.place.idempotent;
     }
     return excludedAll || !std::ranges::count(waiting.place.excluded, state.server.id);
 }
@@ -116,7 +119,7 @@
     auto queuedPromptWork
         = state.pendingWork + state.promisedWork - (isPromisedHere ? static_cast<double>(uncached.count) : 0);
     auto unread = Tokens { static_cast<std::int64_t>(std::max(0.0, queuedPromptWork)) };
-    auto time = readingTime(state, uncached + unread) + slotWait(state);
+    auto time = readingTime(state, uncached + unread) + slotWait(state, now);
     if (!state.awaitingFirstByte.empty()) {
         // A request that still waits for its first byte reveals a slowdown before any response arrives.
         time = std::max(time, now - *state.awaitingFirstByte.begin());
@@ -167,9 +170,10 @@
     const auto& homes = m_homes.find(parts[parts.size() - 2], m_pool);
     for (std::size_t i = 0; i < homes.size(); ++i) {
         auto& state = *homes[i];
-        // No request waits for a slot of an engine without its parts, or while there are plenty of others.
+        // No request waits for an engine without its parts, or for a slot while there are plenty of others.
         bool hasParts = uncachedTokens(state, waiting.place) < waiting.place.promptTokens;
-        if ((state.hasFreeSlot() || (m_isCrowded && hasParts)) && isCandidate(state, waiting, excludedAll, now)) {
+        bool mayWait = hasParts && (m_isCrowded || state.limitReached);
+        if ((state.hasFreeSlot() || mayWait) && isCandidate(state, waiting, excludedAll, now)) {
             consider(choices, state, waiting, i, now);
         }
     }
@@ -258,7 +262,7 @@
     for (auto& [id, state] : m_pool.servers()) {
         state.promisedWork = 0;
         state.promisedSlots = 0;
-        if (state.server.leaving || state.isolated || (state.health.isEjected() && !state.health.isProbeDue(now))) {
+        if (state.server.leaving || state.isolated || (state.health.isEjected() && !state.isProbeDue(now))) {
             continue;
         }
         slots += state.usableSlots;
--- a/src/dispatch/PromptPlacement.h
+++ b/src/dispatch/PromptPlacement.h
@@ -69,7 +69,7 @@
     void considerLeastLoaded(Choices&, const WaitingRequest&, bool excludedAll, MonotonicTime now);
     bool canStartNow(const ServerState&, const WaitingRequest&, Tokens uncached, MonotonicTime now) const;
     // Predicted time until a slot of the engine becomes free for one more waiting request.
-    Duration slotWait(const ServerState&) const;
+    Duration slotWait(ServerState&, MonotonicTime now) const;
     void promise(const WaitingRequest&, const Choice&);
     // Largest number of prompt tokens whose reading stalls other streams for no longer than the gap target allows.
     Tokens stallFreeTokens(const ServerState&) const;
--- a/src/dispatch/RequestLimit.h
+++ b/src/dispatch/RequestLimit.h
@@ -25,6 +25,15 @@
         m_heardAt = rate ? now : std::max(m_heardAt, grantedAt);
         return std::exchange(m_rate, rate) != rate;
     }
+    // Another instance heard of the rate at the given time. Returns whether the limit changed.
+    bool recordReport(RequestRate rate, MonotonicTime heardAt)
+    {
+        if (heardAt <= m_heardAt) {
+            return false;
+        }
+        m_heardAt = heardAt;
+        return std::exchange(m_rate, rate) != rate;
+    }
 
     const std::optional<RequestRate>& rate() const { return m_rate; }
     // When an answer named the limit last; without a limit, the time at which there was none.
--- a/src/dispatch/ServerPool.cpp
+++ b/src/dispatch/ServerPool.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/ServerPool.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "dispatch/ServerSelector.h"
 
@@ -66,7 +67,7 @@
     return it == m_servers.end() ? nullptr : &it->second;
 }
 
-void ServerPool::updateRates()
+void ServerPool::updateRates(double meanSlotSeconds)
 {
     std::vector<double> rates;
     for (const auto& [id, state] : m_servers) {
@@ -90,6 +91,17 @@
                 state.usableSlots = std::max(1, static_cast<int>(fraction * state.server.slots));
             }
         }
+        state.sustainedSlots = state.usableSlots;
+        if (const auto& rate = state.limit.rate()) {
+            state.sustainedSlots = std::min(state.sustainedSlots, rate->perSecond * meanSlotSeconds);
+        }
+    }
+}
+
+void ServerPool::updateLimits(MonotonicTime now)
+{
+    for (auto& [id, state] : m_servers) {
+        state.limitReached = !state.limit.hasRoom(now);
     }
 }
 
@@ -127,25 +139,24 @@
 
 bool ServerPool::hasAvailableServer(MonotonicTime now) const
 {
-    return std::ranges::any_of(m_servers, [&](const auto& it) {
-        return (isUsable(it.second) && it.second.hasFreeSlot()) || it.second.health.isProbeDue(now);
-    });
+    return std::ranges::any_of(m_servers,
+        [&](const auto& it) { return (isUsable(it.second) && it.second.hasFreeSlot()) || it.second.isProbeDue(now); });
 }
 
 int ServerPool::totalSlots() const
 {
-    int sum = 0;
+    double sum = 0;
     for (const auto& [id, state] : m_servers) {
-        sum += isUsable(state) ? state.usableSlots : 0;
+        sum += isUsable(state) ? state.sustainedSlots : 0;
     }
-    return sum;
+    return static_cast<int>(std::ceil(sum));
 }
 
-int ServerPool::expectedSlots() const
+double ServerPool::expectedSlots() const
 {
-    int sum = 0;
+    double sum = 0;
     for (const auto& [id, state] : m_servers) {
-        sum += state.server.leaving || state.health.isPersistentlyDown() ? 0 : state.usableSlots;
+        sum += state.server.leaving || state.health.isPersistentlyDown() ? 0 : state.sustainedSlots;
     }
     return sum;
 }
@@ -154,7 +165,7 @@
 {
     int sum = 0;
     for (const auto& [id, state] : m_servers) {
-        sum += isUsable(state) ? std::max(0, state.usableSlots - state.inFlight) : 0;
+        sum += isUsable(state) && state.hasFreeSlot() ? state.usableSlots - state.inFlight : 0;
     }
     return sum;
 }
--- a/src/dispatch/ServerPool.h
+++ b/src/dispatch/ServerPool.h
@@ -26,8 +26,11 @@
     std::map<BackendServerId, ServerState>& servers() { return m_servers; }
     const std::map<BackendServerId, ServerState>& servers() const { return m_servers; }
 
-    // Sets each server's usable slots from its measured rate relative to the pool's median.
-    void updateRates();
+    // Sets each server's usable slots from its measured rate relative to the pool's median, and the sustained ones from
+    // its request limit and the mean time that a request occupies a slot.
+    void updateRates(double meanSlotSeconds);
+    // Notes which request limits leave no room for a request.
+    void updateLimits(MonotonicTime now);
     void recordSuccess(ServerState&);
     void recordFailure(ServerState&, bool died, MonotonicTime now);
 
@@ -39,8 +42,8 @@
     int totalSlots() const;
     int freeSlots() const;
     // Slots including those of servers that are unavailable for a short time: ejected, or isolated for a suspect
-    // request.
-    int expectedSlots() const;
+    // request. Each server counts with the slots that its request limit keeps busy.
+    double expectedSlots() const;
     std::optional<MonotonicTime> nextProbe() const;
     // Whether the servers are model engines whose prompt parts and cache capacity are known.
     bool hasPromptEngines() const { return m_cacheCapacity.count > 0; }
--- a/src/dispatch/ServerSelector.cpp
+++ b/src/dispatch/ServerSelector.cpp
@@ -78,7 +78,7 @@
         return false;
     }
     if (state.health.isEjected()) {
-        return state.health.isProbeDue(now) && waiting.place.idempotent;
+        return state.isProbeDue(now) && waiting.place.idempotent;
     }
     if (!state.hasFreeSlot() || state.declinedSince(now - m_options.declinedBackoff)) {
         return false;
@@ -120,12 +120,13 @@
     ServerState* leastLoaded = nullptr;
     for (auto& [id, state] : m_pool.servers()) {
         // A server that is due for a probe after its death is idle, and a suspect request can serve as the probe.
-        bool isUnavailable = state.health.isEjected() && !(state.health.isProbeDue(now) && waiting.place.idempotent);
+        bool isUnavailable = state.health.isEjected() && !(state.isProbeDue(now) && waiting.place.idempotent);
         if (state.server.leaving || isUnavailable) {
             continue;
         }
         isolated += state.isolated ? 1 : 0;
-        if (state.inFlight == 0 && !(isExcluded(state, waiting.place) && m_pool.servers().size() > 1)) {
+        if (state.inFlight == 0 && !state.limitReached
+            && !(isExcluded(state, waiting.place) && m_pool.servers().size() > 1)) {
             return &state;
         }
         if (!state.isolated && (!leastLoaded || state.inFlight < leastLoaded->inFlight)) {
--- a/src/dispatch/ServerState.cpp
+++ b/src/dispatch/ServerState.cpp
@@ -23,6 +23,7 @@
 ServerState::ServerState(BackendServer description)
     : server(std::move(description))
     , usableSlots(server.slots)
+    , sustainedSlots(server.slots)
     , m_secondsPerPromptToken(initialSecondsPerPromptToken)
 {
 }
--- a/src/dispatch/ServerState.h
+++ b/src/dispatch/ServerState.h
@@ -5,7 +5,7 @@
 
 #include "dispatch/PrefixCache.h"
 #include "dispatch/PrefixIndex.h"
-#include "dispatch/RequestLimit.h"
+#include "dispatch/RequestLimiter.h"
 #include "dispatch/ServerHealth.h"
 #include "lagoonspoke/dispatch/BackendServer.h"
 
@@ -41,17 +41,23 @@
     // Tokens per second of one request; empty before the first observation.
     std::optional<double> tokenRate() const { return m_tokenRate; }
     MonotonicTime newestObservation() const { return m_newestObservation; }
-    bool hasFreeSlot() const { return inFlight < usableSlots; }
+    // Whether the server takes a request now: a slot is free, and its request limit leaves room.
+    bool hasFreeSlot() const { return inFlight < usableSlots && !limitReached; }
+    // Whether the server takes a request that shows whether it works again after its ejection.
+    bool isProbeDue(MonotonicTime now) const { return health.isProbeDue(now) && !limitReached; }
 
     BackendServer server;
     int inFlight = 0;
     // Slots that may be used: the server's limit, or fewer when it is slow.
     int usableSlots = 0;
+    // Slots that requests keep busy at most: the usable ones, or fewer when the request limit is reached before.
+    double sustainedSlots = 0;
+    bool limitReached = false; // the request limit leaves no room in the current scheduler run
     bool slow = false;
     bool isolated = false; // reserved for a suspect request, or running one
     bool runsSuspect = false;
     ServerHealth health;
-    RequestLimit limit;
+    RequestLimiter limit;
     PrefixIndex prefix; // from the engine's cache events
     PrefixCache cache; // from the prompts sent to the engine
     int gapSensitive = 0; // requests in flight whose class has a short gap target
--- a/src/wire/PlacementCodec.cpp
+++ b/src/wire/PlacementCodec.cpp
@@ -133,11 +133,18 @@
         auto tokens = writeTokens(builder, part.prefixTokens);
         parts.push_back(wire::CreateReadPart(builder, server, prefix, tokens, part.age.count()));
     }
+    std::vector<flatbuffers::Offset<wire::KnownLimit>> limits;
+    for (const auto& known : it.limits) {
+        auto server = writeText(builder, known.server.value());
+        limits.push_back(wire::CreateKnownLimit(builder, server, known.limit.perSecond, known.age.count()));
+    }
     auto entry = writeText(builder, it.entry.value());
     auto domain = writeText(builder, it.domain.value());
     auto waitingVector = builder.CreateVector(waiting);
     auto heldVector = builder.CreateVector(held);
-    return wire::CreateResync(builder, entry, domain, waitingVector, heldVector, builder.CreateVector(parts));
+    auto partsVector = builder.CreateVector(parts);
+    return wire::CreateResync(
+        builder, entry, domain, waitingVector, heldVector, partsVector, builder.CreateVector(limits));
 }
 
 flatbuffers::Offset<wire::Grant> write(Builder& builder, const Grant& it)
@@ -212,6 +219,12 @@
         resync.parts.push_back({ BackendServerId(toText(part->server())), readHashes<PrefixBlock>(part->prefix()),
             readTokens(part->prefix_tokens()), readDuration(part->age_ns()) });
     }
+    for (std::size_t i = 0; it.limits() && i < it.limits()->size(); ++i) {
+        const auto* known = it.limits()->Get(static_cast<flatbuffers::uoffset_t>(i));
+        if (auto rate = readRate(known->per_second())) {
+            resync.limits.push_back({ BackendServerId(toText(known->server())), *rate, readDuration(known->age_ns()) });
+        }
+    }
     return resync;
 }
 
--- a/src/wire/WireTest.cpp
+++ b/src/wire/WireTest.cpp
@@ -54,7 +54,8 @@
     Progress progress { request, GrantId(4), domain, true, 3ms, { 6 }, true, FinishOutcome::ServerDied, { 8 }, true,
         RequestRate { 2.5 } };
     Resync resync { InstanceId("e1"), domain, { makePlace() },
-        { { makePlace(), GrantId(5), BackendServerId("s3"), { 9 } } } };
+        { { makePlace(), GrantId(5), BackendServerId("s3"), { 9 } } }, {},
+        { { BackendServerId("s5"), RequestRate { 0.5 }, 3s } } };
     return { { domain, makePlace() }, { domain, progress }, { domain, Withdraw { request, domain } },
         { domain, resync }, { domain, Grant { request, GrantId(6), BackendServerId("s4"), "127.0.0.1:8", 2s } },
         { domain, Refusal { request, RefusalCode::NotOwner, 7ms } },
@@ -111,6 +112,10 @@
     REQUIRE(progress.outputTokens.count == 6);
     REQUIRE(progress.limitSeen);
     REQUIRE(progress.limit == RequestRate { 2.5 });
+    auto resync = std::get<Resync>(decodePlacementPacket(encodePlacementPacket(makePackets()[3]))->message);
+    REQUIRE(resync.limits.at(0).server == BackendServerId("s5"));
+    REQUIRE(resync.limits.at(0).limit == RequestRate { 0.5 });
+    REQUIRE(resync.limits.at(0).age == 3s);
     REQUIRE(progress.promptTokens.count == 8);
 }
 
--- a/src/wire/placement_generated.h
+++ b/src/wire/placement_generated.h
@@ -32,6 +32,9 @@
 struct ReadPart;
 struct ReadPartBuilder;
 
+struct KnownLimit;
+struct KnownLimitBuilder;
+
 struct Resync;
 struct ResyncBuilder;
 
@@ -803,6 +806,81 @@
       age_ns);
 }
 
+struct KnownLimit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef KnownLimitBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_PER_SECOND = 6,
+    VT_AGE_NS = 8
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  int64_t age_ns() const {
+    return GetField<int64_t>(VT_AGE_NS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_NS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct KnownLimitBuilder {
+  typedef KnownLimit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(KnownLimit::VT_SERVER, server);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(KnownLimit::VT_PER_SECOND, per_second, 0.0);
+  }
+  void add_age_ns(int64_t age_ns) {
+    fbb_.AddElement<int64_t>(KnownLimit::VT_AGE_NS, age_ns, 0);
+  }
+  explicit KnownLimitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<KnownLimit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<KnownLimit>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<KnownLimit> CreateKnownLimit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    double per_second = 0.0,
+    int64_t age_ns = 0) {
+  KnownLimitBuilder builder_(_fbb);
+  builder_.add_age_ns(age_ns);
+  builder_.add_per_second(per_second);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<KnownLimit> CreateKnownLimitDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    double per_second = 0.0,
+    int64_t age_ns = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return lagoonspoke::wire::CreateKnownLimit(
+      _fbb,
+      server__,
+      per_second,
+      age_ns);
+}
+
 struct Resync FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ResyncBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -810,7 +888,8 @@
     VT_DOMAIN = 6,
     VT_WAITING = 8,
     VT_HELD = 10,
-    VT_PARTS = 12
+    VT_PARTS = 12,
+    VT_LIMITS = 14
   };
   const flatbuffers::String *entry() const {
     return GetPointer<const flatbuffers::String *>(VT_ENTRY);
@@ -827,6 +906,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::ReadPart>> *parts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::ReadPart>> *>(VT_PARTS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>> *limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENTRY) &&
@@ -842,6 +924,9 @@
            VerifyOffset(verifier, VT_PARTS) &&
            verifier.VerifyVector(parts()) &&
            verifier.VerifyVectorOfTables(parts()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
+           verifier.VerifyVectorOfTables(limits()) &&
            verifier.EndTable();
   }
 };
@@ -865,6 +950,9 @@
   void add_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::ReadPart>>> parts) {
     fbb_.AddOffset(Resync::VT_PARTS, parts);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>>> limits) {
+    fbb_.AddOffset(Resync::VT_LIMITS, limits);
+  }
   explicit ResyncBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -882,8 +970,10 @@
     flatbuffers::Offset<flatbuffers::String> domain = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::PlaceRequest>>> waiting = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::HeldGrant>>> held = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::ReadPart>>> parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::ReadPart>>> parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>>> limits = 0) {
   ResyncBuilder builder_(_fbb);
+  builder_.add_limits(limits);
   builder_.add_parts(parts);
   builder_.add_held(held);
   builder_.add_waiting(waiting);
@@ -898,19 +988,22 @@
     const char *domain = nullptr,
     const std::vector<flatbuffers::Offset<lagoonspoke::wire::PlaceRequest>> *waiting = nullptr,
     const std::vector<flatbuffers::Offset<lagoonspoke::wire::HeldGrant>> *held = nullptr,
-    const std::vector<flatbuffers::Offset<lagoonspoke::wire::ReadPart>> *parts = nullptr) {
+    const std::vector<flatbuffers::Offset<lagoonspoke::wire::ReadPart>> *parts = nullptr,
+    const std::vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>> *limits = nullptr) {
   auto entry__ = entry ? _fbb.CreateString(entry) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto waiting__ = waiting ? _fbb.CreateVector<flatbuffers::Offset<lagoonspoke::wire::PlaceRequest>>(*waiting) : 0;
   auto held__ = held ? _fbb.CreateVector<flatbuffers::Offset<lagoonspoke::wire::HeldGrant>>(*held) : 0;
   auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<lagoonspoke::wire::ReadPart>>(*parts) : 0;
+  auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>>(*limits) : 0;
   return lagoonspoke::wire::CreateResync(
       _fbb,
       entry__,
       domain__,
       waiting__,
       held__,
-      parts__);
+      parts__,
+      limits__);
 }
 
 struct Grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
