Order the revisions of a store that was restored from a copy

Cause: a store that comes back from a copy gives its revisions out again. The followers, the instances that live by peers and every conditional write compare these numbers alone: a peer's list with a lower number is ignored until the old number is passed, a watch from a number that was given out again misses what lies before it, and a version can match another state than the one read.

Change: the adapter reads how often the store was restored and carries it in the upper bits of revisions and versions, so that they always rise. A follower keeps items that the restored store lacks for the time in which their writers come back.

--- a/src/external/CollectionFollower.cpp
+++ b/src/external/CollectionFollower.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "external/StoreRevision.h"
+
 namespace lagoonspoke {
 
 CollectionFollower::CollectionFollower(Options options)
@@ -94,6 +96,10 @@
 
 void CollectionFollower::replaceItems(CollectionList list, MonotonicTime now)
 {
+    // What was written after the copy that the store was restored from is written again.
+    if (m_known && restorationsOf(list.revision) > restorationsOf(m_revision)) {
+        m_returnedAt = now;
+    }
     std::set<std::string> names;
     for (auto& item : list.items) {
         names.insert(item.name);
--- a/src/external/CollectionFollower.h
+++ b/src/external/CollectionFollower.h
@@ -117,7 +117,7 @@
     bool m_known = false;
     bool m_reachable = true;
     bool m_changed = false;
-    std::optional<MonotonicTime> m_returnedAt; // of the store, after it was away
+    std::optional<MonotonicTime> m_returnedAt; // of the store, after it was away or restored from a copy
     std::optional<MonotonicTime> m_retryAt;
     std::optional<MonotonicTime> m_watchAt; // the end of a pause
     Duration m_retryDelay {};
--- a/src/external/CollectionFollowerTest.cpp
+++ b/src/external/CollectionFollowerTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "external/StoreRevision.h"
+
 namespace lagoonspoke {
 
 using namespace std::chrono_literals;
@@ -150,4 +152,26 @@
     CHECK(kit.did<WatchCollection>());
 }
 
+// Guards against servers that a restored store lacks for a moment and that are taken for gone, and against instances
+// that live by peers and take nothing until the old numbers are passed.
+TEST_CASE("A restored collection replaces a newer number, and keeps what it lacks for a moment")
+{
+    Kit kit;
+    bool watches = GENERATE(true, false);
+    kit.send(CollectionListed { { { { "copied", "1" }, { "lost", "1" } }, makeRevision(0, 900) } });
+    kit.send(CollectionRoleChanged { watches });
+    CollectionList restored { { { "copied", "1" }, { "new", "1" } }, makeRevision(1, 100) };
+    if (watches) {
+        kit.send(CollectionHistoryLost {});
+        CHECK(kit.did<ListCollection>());
+        kit.send(CollectionListed { restored });
+    } else {
+        kit.send(CollectionHeard { restored });
+    }
+    CHECK(kit.names() == Names { "copied", "lost", "new" });
+    CHECK(kit.follower.itemsRevision() == restored.revision);
+    kit.advance(2400ms);
+    CHECK(kit.names() == Names { "copied", "new" });
+}
+
 } // namespace lagoonspoke
--- a/src/external/ObjectCollection.h
+++ b/src/external/ObjectCollection.h
@@ -19,7 +19,7 @@
 
 struct CollectionList {
     std::vector<CollectionItem> items;
-    std::uint64_t revision = 0; // to watch from
+    std::uint64_t revision = 0; // to watch from; see StoreRevision.h
 };
 
 struct CollectionChange {
@@ -42,7 +42,8 @@
     // Errors: Unavailable, TimedOut, ProtocolViolation.
     virtual asio::awaitable<Outcome<CollectionList>> list(bool mayBeStale) const = 0;
     // Waits for changes after the revision; none when the wait ends first.
-    // Errors as of list(), and NotFound when the store no longer knows what changed since: list again.
+    // Errors as of list(), and NotFound when the store no longer knows what changed since, or was restored from a copy
+    // since: list again.
     virtual asio::awaitable<Outcome<CollectionChanges>> watch(std::uint64_t revision, Duration wait) const = 0;
 };
 
--- a/src/external/ObjectStore.h
+++ b/src/external/ObjectStore.h
@@ -13,7 +13,7 @@
 
 struct StoredObject {
     std::string value;
-    std::uint64_t version = 0; // grows with every write to the key
+    std::uint64_t version = 0; // grows with every write to the key; see StoreRevision.h
 };
 
 struct ObjectEntry {
@@ -41,6 +41,9 @@
         std::string key, std::string value, std::optional<std::uint64_t> version) const;
     virtual asio::awaitable<Outcome<void>> remove(std::string key, std::uint64_t version) const = 0;
     virtual asio::awaitable<Outcome<std::vector<ObjectEntry>>> list(std::string prefix) const = 0;
+    // How often the store was restored from a copy, by its latest reply. What it acknowledged in the seconds before a
+    // restoration is lost.
+    virtual std::uint64_t restorations() const { return 0; }
 };
 
 using ObjectStorePtr = std::shared_ptr<const ObjectStore>;
