Never give out an epoch of a lease again after the store was restored

Cause: the epoch was the one of the stored record plus one, so a record that goes back hands it out again. A process that found its own name in the older record took the lease at once, though another one may have held it since, with a term that has not ended. A released lease and a missing one were believed too.

Change: the upper half of an epoch counts the store's restorations, and a process's own epochs always rise. A record from before a restoration is waited out in full, also by the process that it names, unless no other one can have acquired the lease since that process held it. An acquisition that lands in a store that was restored meanwhile counts as refused.

--- a/src/daemon/LeaseService.cpp
+++ b/src/daemon/LeaseService.cpp
@@ -4,6 +4,7 @@
 
 #include "external/LeaseCodec.h"
 #include "lagoonspoke/core/Overload.h"
+#include "lagoonspoke/core/StoreRevision.h"
 #include "lease/LeaseCandidacy.h"
 #include "observe/LogLine.h"
 
@@ -132,7 +133,7 @@
     auto object = co_await m_store->get("lease/" + lease);
     if (!object) {
         if (object.error().code == ErrorCode::NotFound) {
-            handle(lease, LeaseRead { call.call, {} });
+            handle(lease, LeaseRead { call.call, {}, m_store->restorations() });
         } else {
             handle(lease, LeaseReadFailed { call.call });
         }
@@ -144,7 +145,8 @@
         handle(lease, LeaseReadFailed { call.call });
         co_return;
     }
-    handle(lease, LeaseRead { call.call, StoredLease { std::move(*record), object->version } });
+    handle(lease,
+        LeaseRead { call.call, StoredLease { std::move(*record), object->version }, restorationsOf(object->version) });
 }
 
 asio::awaitable<void> LeaseService::write(std::string lease, WriteLease call)
--- a/src/external/CollectionFollower.cpp
+++ b/src/external/CollectionFollower.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <set>
 
-#include "external/StoreRevision.h"
+#include "lagoonspoke/core/StoreRevision.h"
 
 namespace lagoonspoke {
 
--- a/src/external/CollectionFollowerTest.cpp
+++ b/src/external/CollectionFollowerTest.cpp
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "external/StoreRevision.h"
+#include "lagoonspoke/core/StoreRevision.h"
 
 namespace lagoonspoke {
 
--- a/src/lease/LeaseCore.cpp
+++ b/src/lease/LeaseCore.cpp
@@ -1,28 +1,51 @@
 #include "lease/LeaseCore.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "lagoonspoke/core/StoreRevision.h"
+
 namespace lagoonspoke {
 
+namespace {
+
+constexpr int epochCounterBits = 32;
+
+} // namespace
+
 LeaseCore::LeaseCore(LeaseMachine::Options options)
     : m_options(std::move(options))
 {
 }
 
+Duration LeaseCore::fullDelay() const
+{
+    return m_options.term + m_options.maxOrderLifetime + candidacy.preferenceDelay;
+}
+
+bool LeaseCore::mayBeOutdated(const LeaseRecord& record) const
+{
+    return record.epoch >> epochCounterBits < m_restorations.value_or(0);
+}
+
 Duration LeaseCore::takeoverDelay() const
 {
     if (!m_observedLease) {
-        return candidacy.preferenceDelay;
+        // The copy may be older than the lease.
+        return m_sawRestoration ? fullDelay() : candidacy.preferenceDelay;
     }
-    if (m_observedLease->record.released) {
+    const auto& record = m_observedLease->record;
+    if (record.released && !mayBeOutdated(record)) {
         return m_options.maxOrderLifetime + m_options.clockDriftAllowance + candidacy.preferenceDelay;
     }
-    if (m_observedLease->record.holder == m_options.self) {
+    // Before that time no other process can have acquired the lease after this one held it.
+    bool wasLastHolder = now < m_termEnd + m_options.maxOrderLifetime;
+    if (record.holder == m_options.self && (wasLastHolder || !mayBeOutdated(record))) {
         // This process acquired the lease and lost track of it, as after a suspension or an unknown outcome of a write.
         // No other process sends orders under this epoch, so there is nothing to wait for.
         return {};
     }
-    return m_options.term + m_options.maxOrderLifetime + candidacy.preferenceDelay;
+    return fullDelay();
 }
 
 bool LeaseCore::isTakeoverDue() const
@@ -61,6 +84,8 @@
     }
     m_observed = true;
     m_observedLease = lastRead.found;
+    m_sawRestoration = m_sawRestoration || lastRead.restorations > m_restorations.value_or(lastRead.restorations);
+    m_restorations = lastRead.restorations;
 }
 
 void LeaseCore::scheduleRetry()
@@ -83,7 +108,9 @@
 
 void LeaseCore::acquire()
 {
-    m_epoch = m_observedLease ? m_observedLease->record.epoch + 1 : 1;
+    // The restored record may be older than this process's own last epoch.
+    m_epoch = std::max(m_epoch, m_observedLease ? m_observedLease->record.epoch : 0) + 1;
+    m_epoch = std::max(m_epoch, m_restorations.value_or(0) << epochCounterBits);
     m_renewal = 0;
     auto version = m_observedLease ? std::optional(m_observedLease->version) : std::nullopt;
     write({ m_options.self, m_epoch, m_renewal, false }, version);
@@ -163,6 +190,11 @@
     loseAndRelease();
 }
 
+bool LeaseCore::isAcquisitionOutdated(std::uint64_t version) const
+{
+    return !m_holder && restorationsOf(version) != m_restorations.value_or(0);
+}
+
 std::optional<FencingToken> LeaseCore::mayAct(MonotonicTime at) const
 {
     if (!m_holder || m_termEnd - at <= m_options.maxOrderLifetime) {
--- a/src/lease/LeaseCore.h
+++ b/src/lease/LeaseCore.h
@@ -45,6 +45,8 @@
     bool isHolder() const { return m_holder; }
     FencingToken token() const { return static_cast<FencingToken>(m_epoch); }
     std::optional<FencingToken> mayAct(MonotonicTime at) const;
+    // Whether the store was restored after the lease was read that the write in flight acquires.
+    bool isAcquisitionOutdated(std::uint64_t version) const;
     bool isLatestCall(std::uint64_t call) const { return call == m_lastCall; }
     // Returns whether the process was suspended since the previous input, and records now as the latest input.
     bool detectSuspension();
@@ -56,6 +58,11 @@
     void drop();
     void write(LeaseRecord, std::optional<std::uint64_t> version);
     Duration takeoverDelay() const;
+    // Longest time from a holder's last renewal to its last order, with the candidate's own delay.
+    Duration fullDelay() const;
+    // Whether the store was restored after the record's holder acquired the lease. Others may have held it since then,
+    // and may hold it still.
+    bool mayBeOutdated(const LeaseRecord&) const;
 
     LeaseMachine::Options m_options;
     std::vector<LeaseAction> m_actions;
@@ -68,8 +75,10 @@
     bool m_observed = false;
     std::optional<StoredLease> m_observedLease;
     MonotonicTime m_observedSince;
+    std::optional<std::uint64_t> m_restorations; // of the store, as read last
+    bool m_sawRestoration = false;
 
-    // As the holder: the state last known to be stored.
+    // As the holder, or its last state as one: the state last known to be stored.
     bool m_holder = false;
     std::uint64_t m_epoch = 0;
     std::uint64_t m_renewal = 0;
--- a/src/lease/LeaseMachine.cpp
+++ b/src/lease/LeaseMachine.cpp
@@ -150,6 +150,11 @@
     }
     void process(const LeaseWritten& event)
     {
+        if (data.isAcquisitionOutdated(event.version)) {
+            // The epoch may have been in force before the store was restored.
+            processResult(LeaseWriteConflict { event.call });
+            return;
+        }
         data.writtenVersion = event.version;
         processResult(event);
     }
--- a/src/lease/LeaseMachineTest.cpp
+++ b/src/lease/LeaseMachineTest.cpp
@@ -1,11 +1,14 @@
 #include "lease/LeaseMachine.h"
 
+#include <deque>
+#include <map>
 #include <queue>
 #include <random>
 
 #include <catch2/catch.hpp>
 
 #include "lagoonspoke/core/Overload.h"
+#include "lagoonspoke/core/StoreRevision.h"
 
 namespace lagoonspoke {
 
@@ -60,8 +63,10 @@
 // outcomes of writes, process suspensions and crashes are drawn from a seeded generator.
 class LeaseSimulation {
 public:
-    explicit LeaseSimulation(std::uint32_t seed)
+    // With restorations, the store comes back from a copy some seconds old every few minutes.
+    explicit LeaseSimulation(std::uint32_t seed, bool restores = false)
         : m_random(seed)
+        , m_restores(restores)
     {
         for (int i = 0; i < processCount; ++i) {
             m_processes.push_back(makeProcess());
@@ -73,6 +78,9 @@
         for (; m_now < length; m_now += step) {
             deliverDue();
             m_outage = m_outageUntil > m_now;
+            if (m_restores) {
+                copyAndRestoreStore();
+            }
             if (chance(0.0002)) {
                 m_outageUntil = m_now + between(1s, 30s);
             }
@@ -85,6 +93,7 @@
 
     int changesOfHolder = 0;
     int ordersReceived = 0;
+    int restorations = 0;
 
 private:
     static constexpr int processCount = 4;
@@ -172,13 +181,41 @@
         }
     }
 
+    void copyAndRestoreStore()
+    {
+        m_copies.push_back({ m_object, m_lastVersion });
+        if (m_copies.size() > static_cast<std::size_t>(longestCopyAge / step)) {
+            m_copies.pop_front();
+        }
+        if (!m_restoring && chance(0.0004)) {
+            m_outageUntil = m_now + between(0s, 3s);
+            m_restoring = true;
+        }
+        if (m_restoring && m_now >= m_outageUntil) {
+            m_restoring = false;
+            auto age = std::uniform_int_distribution<std::size_t>(0, m_copies.size() - 1)(m_random);
+            auto& [object, counter] = m_copies.at(age);
+            m_object = object;
+            m_lastVersion = counter;
+            ++restorations;
+        }
+    }
+    std::uint64_t revisionOf(std::uint64_t counter) const
+    {
+        return makeRevision(static_cast<std::uint64_t>(restorations), counter);
+    }
+
     void readStore(int number, std::uint64_t call)
     {
         if (m_outage) {
             deliverResult(number, LeaseReadFailed { call });
-        } else {
-            deliverResult(number, LeaseRead { call, m_object });
+            return;
         }
+        auto found = m_object;
+        if (found) {
+            found->version = revisionOf(found->version);
+        }
+        deliverResult(number, LeaseRead { call, found, static_cast<std::uint64_t>(restorations) });
     }
 
     void writeStore(int number, const WriteLease& write)
@@ -187,16 +224,19 @@
             deliverResult(number, LeaseWriteUnknown { write.call });
             return;
         }
-        bool versionMatches = m_object ? write.version == m_object->version : !write.version;
+        // A version from before a restoration matches by its number; the writer is then told that it may have written.
+        bool versionMatches
+            = m_object ? write.version && counterOf(*write.version) == m_object->version : !write.version;
+        bool isOutdated = write.version && restorationsOf(*write.version) != restorationsOf(revisionOf(0));
         if (!versionMatches) {
             deliverResult(number, LeaseWriteConflict { write.call });
             return;
         }
         m_object = StoredLease { write.record, ++m_lastVersion };
-        if (chance(0.1)) {
+        if (isOutdated || chance(0.1)) {
             deliverResult(number, LeaseWriteUnknown { write.call });
         } else {
-            deliverResult(number, LeaseWritten { write.call, m_lastVersion });
+            deliverResult(number, LeaseWritten { write.call, revisionOf(m_lastVersion) });
         }
     }
 
@@ -247,6 +287,7 @@
     void receiveOrder(int sender, FencingToken token)
     {
         ++ordersReceived;
+        CHECK(m_senders.try_emplace(token, sender).first->second == sender);
         CHECK((token >= m_highestToken || sender == m_highestSender));
         if (token >= m_highestToken) {
             m_highestToken = token;
@@ -273,6 +314,15 @@
     std::vector<int> m_orderSenders;
     FencingToken m_highestToken {};
     int m_highestSender = 0;
+    std::map<FencingToken, int> m_senders;
+    struct Copy {
+        std::optional<StoredLease> object;
+        std::uint64_t lastVersion = 0;
+    };
+    static constexpr Duration longestCopyAge = 30s;
+    bool m_restores = false;
+    bool m_restoring = false;
+    std::deque<Copy> m_copies;
 };
 
 } // namespace
@@ -295,6 +345,23 @@
     CHECK(orders > 10000);
 }
 
+// Guards against epochs that are in force twice, and against a process that finds its own name in an older state of the
+// lease while its successor's term has not ended.
+TEST_CASE("No two processes send orders under one lease, or one epoch, although the store is restored from copies")
+{
+    int restorations = 0;
+    int orders = 0;
+    for (std::uint32_t seed = 1; seed <= 60; ++seed) {
+        INFO("seed " << seed);
+        LeaseSimulation simulation(seed, true);
+        simulation.run(10min);
+        restorations += simulation.restorations;
+        orders += simulation.ordersReceived;
+    }
+    CHECK(restorations > 150);
+    CHECK(orders > 10000);
+}
+
 // A term counted from the result of the write would outlast the wait of a candidate that read the record earlier.
 TEST_CASE("The holder counts its term from before it sent the renewal")
 {
--- a/src/lease/LeaseMessages.h
+++ b/src/lease/LeaseMessages.h
@@ -13,7 +13,9 @@
 // Content of a lease object. It has no timestamps, as the processes' clocks are not synchronised.
 struct LeaseRecord {
     std::string holder; // unique for each process, not only for each instance
-    std::uint64_t epoch = 0; // increases with every acquisition
+    // Increases with every acquisition. The upper half counts the restorations of the store before the acquisition, so
+    // that a restored store does not lead to an epoch that was in force already.
+    std::uint64_t epoch = 0;
     std::uint64_t renewal = 0; // increases with every renewal within one epoch
     bool released = false; // the holder released the lease and sends no further orders
 
@@ -36,6 +38,7 @@
 struct LeaseRead {
     std::uint64_t call = 0;
     std::optional<StoredLease> found; // absent when the object does not exist
+    std::uint64_t restorations = 0; // of the store, when it replied
 };
 
 struct LeaseReadFailed {
