Keep seals of usage for a store that loses them, and report no window anew

Cause: seals and records are objects of the store. A copy lacks the last ones, but their reports are sent, and the writers have dropped the facts that the seals contained. The next seal of the same window counts what is left.

A window that nobody has a seal of, and that another holder may have reported, is sealed but withheld; this is stored with the seals, so that a sealer that takes over in between withholds as well. A holder whose lease had no gap in which another one could act withholds nothing. Records that no seal contains are written again.

Measured: without the kept seals and the withheld windows the sealer's test reports 7 besides 10 requests of one window.

--- a/src/daemon/LeaseService.cpp
+++ b/src/daemon/LeaseService.cpp
@@ -13,8 +13,6 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(250);
-// Every reading of a lease object is billed, so only the first few instances watch each lease.
-constexpr std::size_t candidatesPerLease = 3;
 // Keeps the candidates of one lease from racing for it; a candidate further down acts only if the others do not.
 constexpr Duration preferenceStep = std::chrono::seconds(2);
 
--- a/src/daemon/LeaseService.h
+++ b/src/daemon/LeaseService.h
@@ -37,6 +37,8 @@
 
     static std::string fleetLease(const DataCentreId& dataCentre) { return "fleet/" + dataCentre.value(); }
     static std::string usageLease() { return "usage"; }
+    // Every reading of a lease object is billed, so only the first few instances watch each lease.
+    static constexpr std::size_t candidatesPerLease = 3;
 
 private:
     struct Held {
--- a/src/daemon/StoreServices.cpp
+++ b/src/daemon/StoreServices.cpp
@@ -9,6 +9,17 @@
 constexpr Duration handOverBound = std::chrono::seconds(3);
 constexpr Duration releaseBound = std::chrono::seconds(1);
 
+LeaseMachine::Options makeLeaseOptions(const DaemonSettings& settings)
+{
+    LeaseMachine::Options options;
+    options.term = settings.leaseTerm;
+    // Two renewals may fail, or be late, before orders end.
+    options.renewInterval = std::min(options.renewInterval, settings.leaseTerm * 3 / 10);
+    options.readInterval = std::min(options.readInterval, settings.leaseTerm / 2);
+    options.maxOrderLifetime = std::min(options.maxOrderLifetime, settings.leaseTerm * 3 / 10);
+    return options;
+}
+
 UsageService::Options makeUsageOptions(const DaemonSettings& settings, const std::string& process)
 {
     UsageService::Options options;
@@ -21,17 +32,7 @@
     options.reportDue = settings.usageReportBound;
     // The rest is for the report and its repeats.
     options.sealLatest = settings.usageReportBound * 3 / 4;
-    return options;
-}
-
-LeaseMachine::Options makeLeaseOptions(const DaemonSettings& settings)
-{
-    LeaseMachine::Options options;
-    options.term = settings.leaseTerm;
-    // Two renewals may fail, or be late, before orders end.
-    options.renewInterval = std::min(options.renewInterval, settings.leaseTerm * 3 / 10);
-    options.readInterval = std::min(options.readInterval, settings.leaseTerm / 2);
-    options.maxOrderLifetime = std::min(options.maxOrderLifetime, settings.leaseTerm * 3 / 10);
+    options.leaseExclusiveTime = makeLeaseOptions(settings).maxOrderLifetime;
     return options;
 }
 
--- a/src/daemon/UsageService.cpp
+++ b/src/daemon/UsageService.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <set>
 
+#include "daemon/LeaseService.h"
 #include "lagoonspoke/core/Overload.h"
+#include "lease/LeaseCandidacy.h"
 #include "observe/LogLine.h"
 #include "usage/CopyHolders.h"
 #include "wire/UsageCodec.h"
@@ -21,6 +23,9 @@
 // Each read of a seal is billed, and one tells of all windows before it. Late usage waits that much longer.
 constexpr int windowsOfSealPoll = 4;
 constexpr Duration longestSealPoll = std::chrono::seconds(20);
+// A process gives up to write seals again after a minute; others have them too.
+constexpr Duration sealRestoreInterval = std::chrono::milliseconds(500);
+constexpr int mostSealRestores = 120;
 
 UsageLedger makeLedger(const UsageService::Options& service)
 {
@@ -40,6 +45,7 @@
     options.latest = service.sealLatest;
     options.due = service.reportDue;
     options.reportsWholeWindows = reporter && reporter->takesWholeWindows();
+    options.exclusiveTime = service.leaseExclusiveTime;
     return UsageSealer::Make(options);
 }
 
@@ -101,6 +107,7 @@
 asio::awaitable<void> UsageService::run()
 {
     for (;;) {
+        noteRestorations();
         readClock();
         execute(m_ledger.advance(readMonotonicClock()));
         auto wait = clockInterval;
@@ -154,9 +161,73 @@
         LogLine(LogLevel::Warning, "usage_message_malformed").add("from", from.value());
         return;
     }
+    if (const auto* seal = std::get_if<UsageSealCopy>(&*message)) {
+        keepSeal(seal->window, seal->value);
+        return;
+    }
     drive(UsageMessageReceived { from, std::move(*message) });
 }
 
+void UsageService::noteRestorations()
+{
+    auto restorations = m_store->restorations();
+    if (restorations == m_restorations) {
+        return;
+    }
+    LogLine(LogLevel::Info, "usage_restored").add("restorations", restorations).add("before", m_restorations);
+    m_restorations = restorations;
+    drive(UsageStoreRestored { restorations });
+    execute(m_sealer.handle(UsageStoreRestored { restorations }, readMonotonicClock()));
+    asio::co_spawn(m_io, restoreSeals(), asio::detached);
+}
+
+void UsageService::keepSeal(WindowNumber window, const std::string& value)
+{
+    auto sealed = decodeSealedWindow(value);
+    if (!sealed || sealed->window != window) {
+        LogLine(LogLevel::Warning, "usage_seal_unreadable")
+            .add("window", window)
+            .add("error", sealed ? "of another window" : sealed.error().message);
+        return;
+    }
+    m_seals.add(window, value);
+    execute(m_sealer.handle(UsageSealKept { window }, readMonotonicClock()));
+    if (sealed->restorations < m_restorations) {
+        asio::co_spawn(m_io, restoreSeals(), asio::detached);
+    }
+}
+
+asio::awaitable<void> UsageService::restoreSeals()
+{
+    if (m_seals.empty() || std::exchange(m_restoringSeals, true)) {
+        co_return;
+    }
+    asio::steady_timer timer(m_io);
+    for (int i = 0; i < mostSealRestores; ++i) {
+        auto entries = co_await m_store->list("usage/");
+        bool complete = entries.has_value();
+        std::set<WindowNumber> stored;
+        for (const auto& entry : entries.value_or(std::vector<ObjectEntry>())) {
+            if (auto key = parseUsageKey(entry.key); key && key->name == "sealed") {
+                stored.insert(key->window);
+            }
+        }
+        for (const auto& [window, value] : complete ? m_seals.missing(stored) : std::map<WindowNumber, std::string>()) {
+            auto version = co_await m_store->create(sealedWindowKey(window), value);
+            complete = complete && (version || version.error().code == ErrorCode::Conflict);
+            LogLine(LogLevel::Info, "usage_seal_restored")
+                .add("window", window)
+                .add("outcome", version ? "stored" : version.error().message);
+        }
+        if (complete) {
+            break;
+        }
+        timer.expires_after(sealRestoreInterval);
+        co_await timer.async_wait(useTuple);
+    }
+    m_restoringSeals = false;
+}
+
 void UsageService::noteMember(const Member& member)
 {
     auto known = m_incarnations.find(member.id);
@@ -203,6 +274,13 @@
         writers.insert(id);
     }
     execute(m_sealer.handle(UsageWritersKnown { std::move(writers) }, readMonotonicClock()));
+    std::vector<LeaseCandidate> candidates { { m_options.instance, m_options.dataCentre } };
+    for (const auto& it : live) {
+        candidates.push_back({ it.instance, it.dataCentre });
+    }
+    m_otherSealers
+        = listCandidates(LeaseService::usageLease(), {}, std::move(candidates), LeaseService::candidatesPerLease);
+    std::erase(m_otherSealers, m_options.instance);
     CopyHolderCandidate self { m_options.instance, m_options.dataCentre, m_options.region };
     drive(CopyHoldersChanged { chooseCopyHolders(self, live) });
 }
@@ -236,6 +314,7 @@
         m_io,
         [this, call = std::move(call)]() -> asio::awaitable<void> {
             auto answer = co_await carryOut(call);
+            noteRestorations();
             drive(std::move(answer));
         },
         asio::detached);
@@ -250,6 +329,7 @@
             if (!writesOutside(call) || m_mayAct()) {
                 answer = co_await carryOut(call);
             }
+            noteRestorations();
             execute(m_sealer.handle(answer, readMonotonicClock()));
         },
         asio::detached);
@@ -298,6 +378,9 @@
     auto answer = makeAnswer(call.call, object);
     if (object) {
         answer.value = std::move(object->value);
+        if (auto key = parseUsageKey(call.key); key && key->name == "sealed") {
+            keepSeal(key->window, answer.value);
+        }
     }
     co_return answer;
 }
@@ -305,8 +388,15 @@
 asio::awaitable<UsageAnswer> UsageService::carryOut(CreateUsageObject call)
 {
     auto key = call.key;
+    auto value = call.value;
     auto version = co_await m_store->create(std::move(call.key), std::move(call.value));
     auto answer = makeAnswer(call.call, version);
+    if (auto parsed = parseUsageKey(key); version && parsed && parsed->name == "sealed") {
+        keepSeal(parsed->window, value);
+        for (const auto& peer : m_otherSealers) {
+            m_send(peer, encodeUsageMessage(UsageSealCopy { parsed->window, value }));
+        }
+    }
     LogLine(LogLevel::Info, key.ends_with("/sealed") ? "usage_sealed" : "usage_recorded")
         .add("key", key)
         .add("outcome", version ? "stored" : version.error().message);
--- a/src/daemon/UsageService.h
+++ b/src/daemon/UsageService.h
@@ -9,6 +9,7 @@
 #include "external/ObjectStore.h"
 #include "external/UsageReporter.h"
 #include "lagoonspoke/usage/UsageRecord.h"
+#include "usage/SealHistory.h"
 #include "usage/SteadyWallClock.h"
 #include "usage/UsageLedger.h"
 #include "usage/UsageSealer.h"
@@ -31,6 +32,8 @@
         Duration sealLatest = std::chrono::hours(1);
         // Time after the end of a window at which its report is late.
         Duration reportDue = std::chrono::hours(1);
+        // Time after the loss of the lease on usage in which no other process can have gained it.
+        Duration leaseExclusiveTime {};
     };
     using SendToPeer = std::function<void(const InstanceId&, std::string payload)>;
     using MayAct = std::function<std::optional<FencingToken>()>;
@@ -70,6 +73,11 @@
     void readClock();
     void wakeEarlier();
     void noteMember(const Member&);
+    // Notices that the store was restored from a copy; called before an answer of the store is taken.
+    void noteRestorations();
+    void keepSeal(WindowNumber, const std::string& value);
+    // Writes the kept seals again that the store lost.
+    asio::awaitable<void> restoreSeals();
     template <typename Call> void startForLedger(Call);
     template <typename Call> void startForSealer(Call);
     asio::awaitable<UsageAnswer> carryOut(ListUsageKeys);
@@ -91,6 +99,10 @@
     std::map<std::uint64_t, std::shared_ptr<Waiting>> m_waiting;
     std::uint64_t m_lastWaiter = 0;
     std::map<InstanceId, std::uint64_t> m_incarnations; // of members that are not dead
+    std::uint64_t m_restorations = 0; // of the store
+    SealHistory m_seals;
+    bool m_restoringSeals = false;
+    std::vector<InstanceId> m_otherSealers; // that may gain the lease on usage next
 };
 
 } // namespace lagoonspoke
--- a/src/lease/LeaseCandidacy.h
+++ b/src/lease/LeaseCandidacy.h
@@ -18,4 +18,8 @@
 std::optional<std::size_t> rankCandidate(const std::string& lease, const std::optional<DataCentreId>& preferred,
     const InstanceId&, const std::vector<LeaseCandidate>& live);
 
+// The first candidates, at most the given number, in the order of their ranks.
+std::vector<InstanceId> listCandidates(const std::string& lease, const std::optional<DataCentreId>& preferred,
+    std::vector<LeaseCandidate> live, std::size_t most);
+
 } // namespace lagoonspoke
--- a/src/usage/UsageLedger.cpp
+++ b/src/usage/UsageLedger.cpp
@@ -45,6 +45,7 @@
                        m_factsChanged = true;
                    },
                    [&](const UsageHandOver&) { handOver(); },
+                   [&](const UsageStoreRestored&) { rewriteRecords(); },
                    [&](const UsageAnswer& it) { handleAnswer(it); },
                },
         event);
@@ -194,6 +195,12 @@
     sendCopiesToAll();
 }
 
+void UsageLedger::rewriteRecords()
+{
+    m_publisher.forgetStored();
+    m_nextCreate = m_now;
+}
+
 void UsageLedger::openWindow(WindowNumber window)
 {
     m_factsChanged = m_factsChanged || window > m_counter.window();
--- a/src/usage/UsageLedger.h
+++ b/src/usage/UsageLedger.h
@@ -30,7 +30,7 @@
 struct UsageHandOver { };
 
 using UsageLedgerEvent = std::variant<UsageCounted, UsageWindowOpened, UsageMessageReceived, CopyHoldersChanged,
-    InstanceDied, UsageHandOver, UsageAnswer>;
+    InstanceDied, UsageHandOver, UsageStoreRestored, UsageAnswer>;
 
 struct SendUsageMessage {
     InstanceId to;
@@ -91,6 +91,9 @@
     void count(const UsageCounted&);
     void receive(const InstanceId& from, const UsageCopy&);
     void receive(const InstanceId& from, const UsageCopyAck&);
+    void receive(const InstanceId&, const UsageSealCopy&) { } // kept by UsageService
+    // Writes the records again that no seal contains yet.
+    void rewriteRecords();
     void changeHolders(const std::vector<InstanceId>&);
     void sendCopies(const InstanceId& holder);
     void sendCopiesToAll();
--- a/src/usage/UsageLedgerTest.cpp
+++ b/src/usage/UsageLedgerTest.cpp
@@ -223,4 +223,19 @@
     CHECK(own->objectKey() != carried->objectKey());
 }
 
+// Guards against usage that is never billed, because the store lost its record before any seal contained it.
+TEST_CASE("Records that no seal contains are written again to a restored store")
+{
+    UsagePublisher publisher;
+    publisher.add(InstanceId("a"), { 7, 10, true, {} });
+    auto record = publisher.nextRecord(8);
+    REQUIRE(record);
+    publisher.handleStored(*record);
+    CHECK_FALSE(publisher.nextRecord(8));
+    publisher.forgetStored();
+    auto again = publisher.nextRecord(8);
+    REQUIRE(again);
+    CHECK(again->objectKey() == record->objectKey());
+}
+
 } // namespace lagoonspoke
--- a/src/usage/UsageMessages.h
+++ b/src/usage/UsageMessages.h
@@ -33,7 +33,20 @@
     bool operator==(const UsageCopyAck&) const = default;
 };
 
-using UsageMessage = std::variant<UsageCopy, UsageCopyAck>;
+// A seal as it is stored, for those who may have to write it again after the store was restored from a copy.
+struct UsageSealCopy {
+    WindowNumber window = 0;
+    std::string value;
+
+    bool operator==(const UsageSealCopy&) const = default;
+};
+
+using UsageMessage = std::variant<UsageCopy, UsageCopyAck, UsageSealCopy>;
+
+// The store came back from a copy: what it acknowledged in the seconds before may be gone.
+struct UsageStoreRestored {
+    std::uint64_t restorations = 0;
+};
 
 struct UsageReport {
     WindowNumber window = 0;
--- a/src/usage/UsageObjects.cpp
+++ b/src/usage/UsageObjects.cpp
@@ -86,6 +86,24 @@
     return { line.numbers[0], static_cast<std::uint64_t>(line.numbers[1]), line.numbers[2] != 0, {} };
 }
 
+// " RESTORATIONS WITHHELD" after the window's number; nothing while the store was never restored.
+std::string formatRestoration(const SealedWindow& sealed)
+{
+    return sealed.restorations > 0 ? fmt::format(" {} {}", sealed.restorations, sealed.withheldUntil) : std::string();
+}
+
+bool readRestoration(std::string_view text, SealedWindow& sealed)
+{
+    if (text.empty()) {
+        return true;
+    }
+    auto restorations = parseNumber<std::uint64_t>(takeWord(text));
+    auto withheldUntil = parseNumber<WindowNumber>(text);
+    sealed.restorations = restorations.value_or(0);
+    sealed.withheldUntil = withheldUntil.value_or(0);
+    return restorations && withheldUntil;
+}
+
 tl::unexpected<Error> makeUnexpectedLine(const Line& line)
 {
     return makeError(ErrorCode::ProtocolViolation, fmt::format("'{}' is not expected in a usage object", line.kind));
@@ -126,7 +144,7 @@
 
 std::string encodeSealedWindow(const SealedWindow& sealed)
 {
-    auto out = fmt::format("window {}\n", sealed.window);
+    auto out = fmt::format("window {}{}\n", sealed.window, formatRestoration(sealed));
     appendTeams(out, sealed.teams);
     for (const auto& [id, writer] : sealed.writers) {
         fmt::format_to(std::back_inserter(out), "writer {} {}\n", writer.completeBelow, id.value());
@@ -149,6 +167,9 @@
     for (const auto& line : *lines) {
         if (line.kind == "window") {
             sealed.window = line.numbers[0];
+            if (!readRestoration(line.name, sealed)) {
+                return makeUnexpectedLine(line);
+            }
         } else if (line.kind == "writer") {
             writer = &sealed.writers[InstanceId(line.name)];
             writer->completeBelow = line.numbers[0];
--- a/src/usage/UsageObjects.h
+++ b/src/usage/UsageObjects.h
@@ -34,7 +34,13 @@
     WindowNumber window = 0;
     TeamFigures teams;
     std::map<InstanceId, Writer> writers;
+    // How often the store was restored from a copy before the seal was made.
+    std::uint64_t restorations = 0;
+    // Windows up to this one that were sealed after that restoration are not reported: the store may have lost their
+    // seals, and their reports may have been sent with other figures.
+    WindowNumber withheldUntil = 0;
 
+    bool isWithheld() const { return window <= withheldUntil; }
     bool operator==(const SealedWindow&) const = default;
 };
 
--- a/src/usage/UsagePublisher.cpp
+++ b/src/usage/UsagePublisher.cpp
@@ -91,6 +91,13 @@
     }
 }
 
+void UsagePublisher::forgetStored()
+{
+    for (auto& [id, entry] : m_entries) {
+        entry.stored = false;
+    }
+}
+
 std::optional<WindowNumber> UsagePublisher::awaitedSeal() const
 {
     std::optional<WindowNumber> window;
--- a/src/usage/UsagePublisher.h
+++ b/src/usage/UsagePublisher.h
@@ -28,6 +28,8 @@
     // Another record has the key.
     void handleOccupied(const Record& attempted, const UsageWindowRecord& existing);
     void handleSeal(const SealedWindow&);
+    // The store may have lost the records.
+    void forgetStored();
     // The earliest window whose seal should contain a fact.
     std::optional<WindowNumber> awaitedSeal() const;
     bool hasUnstored(const InstanceId& writer) const;
--- a/src/usage/UsageSealer.cpp
+++ b/src/usage/UsageSealer.cpp
@@ -35,6 +35,8 @@
                    [&](const UsageLeaseChanged& it) { changeLease(it.token); },
                    [&](const UsageClockRead& it) { m_clock = it; },
                    [&](const UsageWritersKnown& it) { setWriters(it.instances); },
+                   [&](const UsageStoreRestored& it) { noteRestored(it); },
+                   [&](const UsageSealKept& it) { m_newestKept = std::max(m_newestKept, it.window); },
                    [&](const UsageAnswer& it) { handleAnswer(it); },
                },
         event);
@@ -61,17 +63,57 @@
 }
 
 void UsageSealer::changeLease(const std::optional<FencingToken>& token)
+{
+    if (!token) {
+        m_lostAt = m_now;
+    } else if (m_clock && !(m_lostAt && m_now < *m_lostAt + m_options.exclusiveTime)) {
+        m_reportedUntil = m_clock->window - (m_clock->elapsed >= m_options.earliestLook ? 1 : 2);
+    }
+    m_token = token;
+    m_waitedForSeals = false;
+    m_scanNotBefore = m_now;
+    restartScan();
+    m_retryAt = m_now;
+    m_reportRetryAt = m_now;
+    m_sealNotBefore = m_now + m_options.grace;
+}
+
+void UsageSealer::restartScan()
 {
     // Answers to earlier calls no longer count.
     ++m_lastCall;
-    m_token = token;
     m_step = Step::Idle;
     m_scanned = false;
     m_reporting.reset();
     m_unreported.clear();
-    m_retryAt = m_now;
-    m_reportRetryAt = m_now;
-    m_sealNotBefore = m_now + m_options.grace;
+}
+
+void UsageSealer::noteRestored(const UsageStoreRestored& event)
+{
+    m_restorations = event.restorations;
+    m_waitedForSeals = true;
+    m_scanNotBefore = m_now + m_options.restoreGrace;
+    restartScan();
+}
+
+void UsageSealer::acceptChain()
+{
+    bool isOlder = m_last.restorations < m_restorations;
+    if (isOlder && !std::exchange(m_waitedForSeals, true)) {
+        m_scanNotBefore = m_now + m_options.restoreGrace;
+        restartScan();
+        return;
+    }
+    if (m_last.window < m_newestKept) {
+        restartScan();
+        m_retryAt = m_now + m_options.retryInterval;
+        return;
+    }
+    if (isOlder) {
+        m_last.withheldUntil = m_reportedUntil;
+    }
+    m_scanned = true;
+    m_step = Step::Ready;
 }
 
 bool UsageSealer::isSealDue() const
@@ -131,7 +173,7 @@
     if (!m_token || !m_clock || !isIdle()) {
         return;
     }
-    if (m_now < m_retryAt) {
+    if (m_now < m_retryAt || (!m_scanned && m_now < m_scanNotBefore)) {
         return;
     }
     if (!m_scanned) {
@@ -243,8 +285,7 @@
     m_last = {};
     m_last.window = *start - 1;
     m_oldest = *start;
-    m_scanned = true;
-    m_step = Step::Ready;
+    acceptChain();
 }
 
 void UsageSealer::finishLastSeal(const UsageAnswer& answer)
@@ -255,8 +296,7 @@
         return;
     }
     m_last = std::move(*sealed);
-    m_scanned = true;
-    m_step = Step::Ready;
+    acceptChain();
 }
 
 void UsageSealer::startSealing(bool whenComplete)
@@ -315,6 +355,8 @@
 void UsageSealer::createSeal()
 {
     m_proposed = sealWindow(m_last, m_last.window + 1, m_records);
+    m_proposed.restorations = m_restorations;
+    m_proposed.withheldUntil = m_last.withheldUntil;
     call(Step::CreatingSeal,
         CreateUsageObject { 0, sealedWindowKey(m_proposed.window), encodeSealedWindow(m_proposed) });
 }
@@ -364,7 +406,7 @@
         return;
     }
     m_reporting = std::move(*sealed);
-    m_reported = !m_options.reportsWholeWindows && m_reporting->teams.empty();
+    m_reported = m_reporting->isWithheld() || (!m_options.reportsWholeWindows && m_reporting->teams.empty());
     sendNextReport();
 }
 
--- a/src/usage/UsageSealer.h
+++ b/src/usage/UsageSealer.h
@@ -22,13 +22,22 @@
     std::set<InstanceId> instances;
 };
 
-using UsageSealerEvent = std::variant<UsageLeaseChanged, UsageClockRead, UsageWritersKnown, UsageAnswer>;
+// This process has a seal of the window, which it writes again when the store lost it.
+struct UsageSealKept {
+    WindowNumber window = 0;
+};
+
+using UsageSealerEvent = std::variant<UsageLeaseChanged, UsageClockRead, UsageWritersKnown, UsageStoreRestored,
+    UsageSealKept, UsageAnswer>;
 using UsageSealerAction
     = std::variant<ListUsageKeys, ReadUsageObject, CreateUsageObject, RemoveUsageObject, SendUsageReport>;
 
 // Seals one window after the other, reports each from its seal and deletes old objects, while this process holds the
 // lease on usage. Seals form a chain without gaps, each made from the one before, and are created on condition that
-// they do not exist; two sealers at once therefore agree on every seal. Pure; owned by UsageService.
+// they do not exist; two sealers at once therefore agree on every seal.
+// A store that was restored from a copy lacks the last seals, though their reports were sent. Every process that kept
+// some writes them again first. A window that nobody kept a seal of, and that another holder may have reported, is
+// sealed but not reported. Pure; owned by UsageService.
 class UsageSealer {
 public:
     struct Options {
@@ -51,6 +60,10 @@
         // Reported windows whose objects stay in the object store. Only a sealer that was paused, between the check of
         // its lease and a write, for longer than this many windows could seal a deleted window a second time.
         WindowNumber retention = 120;
+        // Time after a restoration of the store for all processes to write the seals again that they kept.
+        Duration restoreGrace = std::chrono::seconds(2);
+        // Time after the loss of the lease in which no other process can have gained it.
+        Duration exclusiveTime {};
         // One report for all teams of a window.
         bool reportsWholeWindows = false;
     };
@@ -87,6 +100,10 @@
 
     template <typename Call> void call(Step, Call);
     void changeLease(const std::optional<FencingToken>&);
+    void restartScan();
+    void noteRestored(const UsageStoreRestored&);
+    // The newest seal is known; goes on unless others are expected to be written again.
+    void acceptChain();
     void startNext();
     void startSealing(bool whenComplete);
     void setWriters(const std::set<InstanceId>&);
@@ -135,6 +152,13 @@
     bool m_sealsWhenComplete = false; // the records being read
     std::set<InstanceId> m_instances;
 
+    std::uint64_t m_restorations = 0;
+    MonotonicTime m_scanNotBefore;
+    bool m_waitedForSeals = false; // since the lease was gained or the store restored
+    WindowNumber m_newestKept = 0;
+    std::optional<MonotonicTime> m_lostAt; // the lease
+    // Windows up to this one may have been reported by an earlier holder of the lease.
+    WindowNumber m_reportedUntil = 0;
     bool m_scanned = false;
     SealedWindow m_last; // the newest seal known
     SealedWindow m_proposed;
--- a/src/usage/UsageSealerTest.cpp
+++ b/src/usage/UsageSealerTest.cpp
@@ -34,6 +34,17 @@
         execute(m_sealer.handle(UsageLeaseChanged {}, now()));
         execute(m_sealer.handle(UsageLeaseChanged { FencingToken(2) }, now()));
     }
+    void copyStore() { m_copy = m_objects; }
+    // The store comes back from its copy.
+    void restoreStore()
+    {
+        m_objects = m_copy;
+        execute(m_sealer.handle(UsageStoreRestored { ++m_restorations }, now()));
+    }
+    // A process of this machine or another one kept the seal that the store lost, and writes it again.
+    void keepSeal(WindowNumber window) { execute(m_sealer.handle(UsageSealKept { window }, now())); }
+    std::string sealOf(WindowNumber window) const { return m_objects.at(sealedWindowKey(window)); }
+    void rewriteSeal(WindowNumber window, const std::string& value) { m_objects[sealedWindowKey(window)] = value; }
     // The record of a process of the instance on the window.
     void record(const std::string& instance, WindowNumber window, std::int64_t requests = 10)
     {
@@ -57,6 +68,7 @@
 
     bool down = false;
     std::map<WindowNumber, std::int64_t> reported; // requests
+    std::map<WindowNumber, std::set<std::int64_t>> figures; // of all reports
 
 private:
     static UsageSealer::Options makeOptions()
@@ -97,10 +109,12 @@
     UsageAnswer answer(const RemoveUsageObject& it) { return { it.call, UsageAnswer::Status::Done, {}, {} }; }
     UsageAnswer answer(const SendUsageReport& it)
     {
-        auto& sum = reported[it.report.window];
-        for (const auto& [team, figures] : it.report.teams) {
-            sum += figures.requests;
+        std::int64_t requests = 0;
+        for (const auto& [team, sent] : it.report.teams) {
+            requests += sent.requests;
         }
+        reported[it.report.window] += requests;
+        figures[it.report.window].insert(requests);
         return { it.call, UsageAnswer::Status::Done, {}, {} };
     }
 
@@ -118,6 +132,8 @@
     UsageSealer m_sealer;
     Duration m_elapsed {};
     std::map<std::string, std::string> m_objects;
+    std::map<std::string, std::string> m_copy;
+    std::uint64_t m_restorations = 0;
 };
 
 const InstanceId a("a");
@@ -258,4 +274,62 @@
     CHECK(bed.isReported(firstWindow + 1));
 }
 
+// Guards against a window that is reported twice with other figures, because the store lost its seal and the facts that
+// it contained.
+TEST_CASE("A window whose seal a restored store lost is not counted anew")
+{
+    SealerBed bed;
+    bed.know({ a });
+    bed.runUntil(4s);
+    bed.copyStore();
+    bed.runUntil(5100ms);
+    bed.record("a", firstWindow, 10);
+    bed.runUntil(8s);
+    CHECK(bed.figures[firstWindow] == std::set<std::int64_t> { 10 });
+    auto seal = bed.sealOf(firstWindow);
+    bed.restoreStore();
+    bool isKept = GENERATE(false, true);
+    if (isKept) {
+        bed.keepSeal(firstWindow);
+        bed.runUntil(9s);
+        bed.rewriteSeal(firstWindow, seal);
+    } else {
+        bed.changeHolder();
+    }
+    for (WindowNumber window : { firstWindow, firstWindow + 1, firstWindow + 2 }) {
+        bed.record("a", window, 7);
+    }
+    bed.runUntil(30s);
+    CHECK(bed.figures[firstWindow] == std::set<std::int64_t> { 10 });
+    CHECK(bed.figures[firstWindow + 1] == std::set<std::int64_t> { 7 });
+    CHECK(bed.figures[firstWindow + 2] == std::set<std::int64_t> { 7 });
+}
+
+// Guards against windows that nobody reports, because the holder of before the restoration mistrusts its own memory.
+TEST_CASE("A holder that keeps its lease through a restoration reports the windows that it had not sealed")
+{
+    SealerBed bed;
+    bed.know({ a });
+    bed.runUntil(4s);
+    bed.copyStore();
+    bed.runUntil(6s);
+    bed.restoreStore();
+    bed.record("a", firstWindow, 10);
+    bed.runUntil(15s);
+    CHECK(bed.figures[firstWindow] == std::set<std::int64_t> { 10 });
+}
+
+// Guards against a sealer that takes over in the middle of the windows that are not to be reported.
+TEST_CASE("The windows that are withheld are stored with the seals")
+{
+    SealedWindow sealed;
+    sealed.window = 7;
+    sealed.restorations = 2;
+    sealed.withheldUntil = 9;
+    CHECK(decodeSealedWindow(encodeSealedWindow(sealed)).value() == sealed);
+    CHECK(sealed.isWithheld());
+    CHECK_FALSE(decodeSealedWindow("window 7 2\nend\n"));
+    CHECK(decodeSealedWindow("window 7\nend\n").value().restorations == 0);
+}
+
 } // namespace lagoonspoke
--- a/src/wire/UsageCodec.cpp
+++ b/src/wire/UsageCodec.cpp
@@ -80,6 +80,11 @@
                              auto body = write(builder, it);
                              return wire::CreateUsagePacket(builder, wire::UsageBody::UsageCopyAck, body.Union());
                          },
+                         [&](const UsageSealCopy& it) {
+                             auto value = builder.CreateString(it.value);
+                             auto body = wire::CreateUsageSealCopy(builder, it.window, value);
+                             return wire::CreateUsagePacket(builder, wire::UsageBody::UsageSealCopy, body.Union());
+                         },
                      },
             message);
     builder.Finish(packet);
@@ -101,6 +106,9 @@
     if (const auto* ack = packet->body_as_UsageCopyAck()) {
         return UsageCopyAck { InstanceId(toText(ack->writer())), ack->sequence() };
     }
+    if (const auto* seal = packet->body_as_UsageSealCopy()) {
+        return UsageSealCopy { seal->window(), toText(seal->value()) };
+    }
     return makeError(ErrorCode::ProtocolViolation, "a usage message has an unknown body");
 }
 
--- a/src/wire/UsageCodecTest.cpp
+++ b/src/wire/UsageCodecTest.cpp
@@ -11,6 +11,8 @@
     UsageMessage ack = UsageCopyAck { InstanceId("i~1"), 12 };
     CHECK(decodeUsageMessage(encodeUsageMessage(copy)).value() == copy);
     CHECK(decodeUsageMessage(encodeUsageMessage(ack)).value() == ack);
+    UsageMessage seal = UsageSealCopy { 28000003, "window 28000003\nend\n" };
+    CHECK(decodeUsageMessage(encodeUsageMessage(seal)).value() == seal);
     auto text = encodeUsageMessage(copy);
     CHECK_FALSE(decodeUsageMessage(text.substr(0, text.size() / 2)));
     CHECK_FALSE(decodeUsageMessage(""));
--- a/src/wire/usage_generated.h
+++ b/src/wire/usage_generated.h
@@ -29,6 +29,9 @@
 struct UsageCopyAck;
 struct UsageCopyAckBuilder;
 
+struct UsageSealCopy;
+struct UsageSealCopyBuilder;
+
 struct UsagePacket;
 struct UsagePacketBuilder;
 
@@ -36,31 +39,34 @@
   NONE = 0,
   UsageCopy = 1,
   UsageCopyAck = 2,
+  UsageSealCopy = 3,
   MIN = NONE,
-  MAX = UsageCopyAck
+  MAX = UsageSealCopy
 };
 
-inline const UsageBody (&EnumValuesUsageBody())[3] {
+inline const UsageBody (&EnumValuesUsageBody())[4] {
   static const UsageBody values[] = {
     UsageBody::NONE,
     UsageBody::UsageCopy,
-    UsageBody::UsageCopyAck
+    UsageBody::UsageCopyAck,
+    UsageBody::UsageSealCopy
   };
   return values;
 }
 
 inline const char * const *EnumNamesUsageBody() {
-  static const char * const names[4] = {
+  static const char * const names[5] = {
     "NONE",
     "UsageCopy",
     "UsageCopyAck",
+    "UsageSealCopy",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameUsageBody(UsageBody e) {
-  if (flatbuffers::IsOutRange(e, UsageBody::NONE, UsageBody::UsageCopyAck)) return "";
+  if (flatbuffers::IsOutRange(e, UsageBody::NONE, UsageBody::UsageSealCopy)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesUsageBody()[index];
 }
@@ -77,6 +83,10 @@
   static const UsageBody enum_value = UsageBody::UsageCopyAck;
 };
 
+template<> struct UsageBodyTraits<lagoonspoke::wire::UsageSealCopy> {
+  static const UsageBody enum_value = UsageBody::UsageSealCopy;
+};
+
 bool VerifyUsageBody(flatbuffers::Verifier &verifier, const void *obj, UsageBody type);
 bool VerifyUsageBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<UsageBody> *types);
 
@@ -432,6 +442,69 @@
       sequence);
 }
 
+struct UsageSealCopy FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageSealCopyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WINDOW = 4,
+    VT_VALUE = 6
+  };
+  int64_t window() const {
+    return GetField<int64_t>(VT_WINDOW, 0);
+  }
+  const flatbuffers::String *value() const {
+    return GetPointer<const flatbuffers::String *>(VT_VALUE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int64_t>(verifier, VT_WINDOW, 8) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyString(value()) &&
+           verifier.EndTable();
+  }
+};
+
+struct UsageSealCopyBuilder {
+  typedef UsageSealCopy Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_window(int64_t window) {
+    fbb_.AddElement<int64_t>(UsageSealCopy::VT_WINDOW, window, 0);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::String> value) {
+    fbb_.AddOffset(UsageSealCopy::VT_VALUE, value);
+  }
+  explicit UsageSealCopyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageSealCopy> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageSealCopy>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageSealCopy> CreateUsageSealCopy(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t window = 0,
+    flatbuffers::Offset<flatbuffers::String> value = 0) {
+  UsageSealCopyBuilder builder_(_fbb);
+  builder_.add_window(window);
+  builder_.add_value(value);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<UsageSealCopy> CreateUsageSealCopyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t window = 0,
+    const char *value = nullptr) {
+  auto value__ = value ? _fbb.CreateString(value) : 0;
+  return lagoonspoke::wire::CreateUsageSealCopy(
+      _fbb,
+      window,
+      value__);
+}
+
 struct UsagePacket FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef UsagePacketBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -451,6 +524,9 @@
   const lagoonspoke::wire::UsageCopyAck *body_as_UsageCopyAck() const {
     return body_type() == lagoonspoke::wire::UsageBody::UsageCopyAck ? static_cast<const lagoonspoke::wire::UsageCopyAck *>(body()) : nullptr;
   }
+  const lagoonspoke::wire::UsageSealCopy *body_as_UsageSealCopy() const {
+    return body_type() == lagoonspoke::wire::UsageBody::UsageSealCopy ? static_cast<const lagoonspoke::wire::UsageSealCopy *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -468,6 +544,10 @@
   return body_as_UsageCopyAck();
 }
 
+template<> inline const lagoonspoke::wire::UsageSealCopy *UsagePacket::body_as<lagoonspoke::wire::UsageSealCopy>() const {
+  return body_as_UsageSealCopy();
+}
+
 struct UsagePacketBuilder {
   typedef UsagePacket Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -512,6 +592,10 @@
       auto ptr = reinterpret_cast<const lagoonspoke::wire::UsageCopyAck *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case UsageBody::UsageSealCopy: {
+      auto ptr = reinterpret_cast<const lagoonspoke::wire::UsageSealCopy *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
