Register an instance again whose entry the store lost

Cause: an instance writes its entry once, at its start. A store that is restored from a copy loses the entries of the seconds before, and instances that start later do not find their owners.

Change: an instance that reads the list of instances and is not in it writes its entry again, and logs instance_entry_missing.

Measured: the daemon's test with a restored store fails before (the entry is not there after 10 s) and passes after.

--- a/src/external/CollectionDirectory.cpp
+++ b/src/external/CollectionDirectory.cpp
@@ -1,5 +1,6 @@
 #include "external/CollectionDirectory.h"
 
+#include <algorithm>
 #include <set>
 
 #include <boost/json.hpp>
@@ -59,6 +60,7 @@
     ObjectStorePtr store;
     Sink sink;
     std::set<std::string> unreadable; // entries that were logged
+    bool registered = false;
     bool stopped = false;
 
     void applyServers(const std::map<std::string, std::string>&, const DecodeServer&);
@@ -252,6 +254,15 @@
         if (list) {
             self->applyInstances(*list);
             first = false;
+            auto isSelf = [&](const CollectionItem& it) { return it.name == self->options.self.id.value(); };
+            if (self->registered && std::ranges::none_of(list->items, isSelf)) {
+                // A store that was restored from a copy may have lost the entry. A list that is only stale has none of
+                // a new instance either; then the entry is found unchanged.
+                bool written = co_await writeSelf(*self);
+                LogLine(LogLevel::Warning, "instance_entry_missing")
+                    .add("entry", self->options.self.id.value())
+                    .add("written", written);
+            }
         }
         // Once the first list is there, members tell each other of new ones.
         self->timer.expires_after(first ? self->options.registrationRetry : self->options.instanceInterval);
@@ -281,8 +292,8 @@
 asio::awaitable<void> CollectionDirectory::State::registerSelf(std::shared_ptr<State> self)
 {
     while (!self->stopped) {
-        bool written = co_await writeSelf(*self);
-        if (written) {
+        self->registered = co_await writeSelf(*self);
+        if (self->registered) {
             break;
         }
         self->registrationTimer.expires_after(self->options.registrationRetry);
