Ask peers for a newer configuration than a restored store has

What callers could see: a confirmed change that is not in force, or comes back older, at instances that start after the store was restored from a copy (CONFIG).

Cause: an instance that reads the store asks no peer. With an older document in the store, one that has just started serves by it until the operator writes the newer one again, though all its peers have that in force.

Change: for 2 s after the first document from the store an instance asks three peers, every 400 ms, whether they have a newer one. One that reads an older document than the one in force tells its peers or listeners its own number and logs configuration_older_in_store.

Measured: DocumentFollowerTest has the case; on the code before, the new instance sends no question (the test does not build there, as the report of the older document is new).

--- a/src/config/DocumentFollower.cpp
+++ b/src/config/DocumentFollower.cpp
@@ -16,7 +16,7 @@
 std::vector<DocumentAction> DocumentFollower::handle(const DocumentEvent& event, MonotonicTime now)
 {
     std::visit(Overload {
-                   [&](const DocumentRead& it) { take(it.text, now); },
+                   [&](const DocumentRead& it) { take(it.text, true, now); },
                    [&](const DocumentStoreReachable& it) { m_reachable = it.reachable; },
                    [&](const DocumentPeersChanged& it) {
                        m_peers = it.peers;
@@ -28,7 +28,7 @@
                            m_actions.emplace_back(SendDocument { it.from, m_text });
                        }
                    },
-                   [&](const DocumentReceived& it) { take(it.text, now); },
+                   [&](const DocumentReceived& it) { take(it.text, false, now); },
                    [&](const DocumentRoleChanged& it) {
                        m_reads = it.reads;
                        m_listeners = it.listeners;
@@ -40,6 +40,9 @@
 
 std::vector<DocumentAction> DocumentFollower::advance(MonotonicTime now)
 {
+    if (m_confirmsUntil && now >= *m_confirmsUntil) {
+        m_confirmsUntil.reset();
+    }
     askForNewer(now);
     if (asks() && now >= m_nextAsk) {
         askPeers(now);
@@ -49,7 +52,7 @@
 
 void DocumentFollower::askPeers(MonotonicTime now)
 {
-    bool alone = isAlone();
+    bool alone = isAlone() || m_confirmsUntil;
     m_nextAsk = now + (alone ? m_options.askInterval : m_options.listenerAskInterval);
     m_actions.emplace_back(TellNumber { pickPeers(alone ? m_options.askedPeers : 1), m_number, true });
 }
@@ -74,7 +77,7 @@
     return next;
 }
 
-void DocumentFollower::take(const std::string& text, MonotonicTime now)
+void DocumentFollower::take(const std::string& text, bool isFromStore, MonotonicTime now)
 {
     if (text == m_text || text == m_refused) {
         return;
@@ -86,15 +89,26 @@
         return;
     }
     if (configuration->number <= m_number) {
+        if (isFromStore && configuration->number < m_number) {
+            // An instance that starts now has only the store's.
+            m_actions.emplace_back(ReportOlderDocument { configuration->number });
+            if (auto peers = peersToTell(); !peers.empty()) {
+                m_actions.emplace_back(TellNumber { std::move(peers), m_number, false });
+            }
+        }
         return;
     }
+    if (m_number == 0 && isFromStore) {
+        m_confirmsUntil = now + m_options.confirmationTime;
+    }
     m_number = configuration->number;
     m_text = text;
     m_actions.emplace_back(ApplyDocument { ConfigurationSnapshot::Make(std::move(*configuration)) });
     if (m_newer && m_newer->number <= m_number) {
         m_newer.reset();
     }
-    m_nextAsk = now + m_options.askInterval;
+    // At the start peers are asked at once, else they had the time to tell.
+    m_nextAsk = m_confirmsUntil ? now : now + m_options.askInterval;
     if (auto peers = peersToTell(); !peers.empty()) {
         m_actions.emplace_back(TellNumber { std::move(peers), m_number, false });
     }
--- a/src/config/DocumentFollower.h
+++ b/src/config/DocumentFollower.h
@@ -70,7 +70,13 @@
     std::vector<Error> errors;
 };
 
-using DocumentAction = std::variant<ApplyDocument, TellNumber, AskForDocument, SendDocument, ReportInvalidDocument>;
+// The store has an older document than the one in force, as after it was restored from a copy.
+struct ReportOlderDocument {
+    std::uint64_t number = 0;
+};
+
+using DocumentAction
+    = std::variant<ApplyDocument, TellNumber, AskForDocument, SendDocument, ReportInvalidDocument, ReportOlderDocument>;
 
 // Decides which configuration document is in force: the one with the highest number that the store or a peer gave.
 // A number never goes back. Pure; owned by DocumentService.
@@ -86,6 +92,9 @@
         Duration askInterval = std::chrono::milliseconds(400);
         // An instance that does not read the store asks one peer at this interval, in case it was not told.
         Duration listenerAskInterval = std::chrono::seconds(1);
+        // Time after the first document in which peers are asked whether they have a newer one: the store may have been
+        // restored from a copy just before.
+        Duration confirmationTime = std::chrono::seconds(2);
         // The store tells most instances by itself within this time; only then a peer is asked.
         Duration storeHeadStart = std::chrono::milliseconds(150);
     };
@@ -105,14 +114,14 @@
         MonotonicTime askAt;
     };
 
-    void take(const std::string& text, MonotonicTime now);
+    void take(const std::string& text, bool isFromStore, MonotonicTime now);
     void hearNumber(const DocumentNumberHeard&, MonotonicTime now);
     void addHolder(const InstanceId&);
     void removeLostHolders();
     void askForNewer(MonotonicTime now);
     std::vector<InstanceId> pickPeers(std::size_t count);
     bool isAlone() const { return (m_reads && !m_reachable) || m_number == 0; }
-    bool asks() const { return (isAlone() || !m_reads) && !m_peers.empty(); }
+    bool asks() const { return (isAlone() || !m_reads || m_confirmsUntil) && !m_peers.empty(); }
     void askPeers(MonotonicTime now);
     std::vector<InstanceId> peersToTell();
 
@@ -128,6 +137,7 @@
     bool m_reads = true;
     std::vector<InstanceId> m_listeners;
     std::optional<Newer> m_newer; // a number above ours that peers have
+    std::optional<MonotonicTime> m_confirmsUntil;
     MonotonicTime m_nextAsk {};
 };
 
--- a/src/config/DocumentFollowerTest.cpp
+++ b/src/config/DocumentFollowerTest.cpp
@@ -169,4 +169,36 @@
     CHECK(listener.find<TellNumber>());
 }
 
+// Guards against an instance that starts after the store was restored from a copy and serves by an older configuration
+// than the one that was confirmed.
+TEST_CASE("A new instance asks its peers for a newer document, and those whose store went back tell of theirs")
+{
+    Kit kit;
+    kit.send(DocumentPeersChanged { { peer } });
+    kit.send(DocumentStoreReachable { true });
+    kit.send(DocumentRead { "5" });
+    auto told = kit.find<TellNumber>();
+    REQUIRE(told);
+    CHECK(std::ranges::any_of(kit.actions, [](const auto& it) {
+        const auto* tells = std::get_if<TellNumber>(&it);
+        return tells && tells->replyWanted;
+    }));
+    kit.send(DocumentNumberHeard { peer, 8, false });
+    kit.advance(200ms);
+    CHECK(kit.find<AskForDocument>());
+    kit.send(DocumentReceived { peer, "8" });
+    REQUIRE(kit.find<ApplyDocument>());
+    kit.advance(3s);
+    kit.advance(1s);
+    CHECK_FALSE(kit.find<TellNumber>());
+
+    kit.send(DocumentRead { "6" });
+    CHECK_FALSE(kit.find<ApplyDocument>());
+    REQUIRE(kit.find<ReportOlderDocument>());
+    told = kit.find<TellNumber>();
+    REQUIRE(told);
+    CHECK(told->number == 8);
+    CHECK(kit.follower.number() == 8);
+}
+
 } // namespace lagoonspoke
--- a/src/daemon/DocumentService.cpp
+++ b/src/daemon/DocumentService.cpp
@@ -97,6 +97,14 @@
         }
     }
 
+    void run(const ReportOlderDocument& it) const
+    {
+        LogLine(LogLevel::Warning, "configuration_older_in_store")
+            .add("document", options.name)
+            .add("number", it.number)
+            .add("in_force", follower.number());
+    }
+
     void send(const InstanceId& to, const ConfigurationMessage& message) const
     {
         if (peers.send) {
