Let a newer list overrule a rumour that a server is missing

Cause: the first instance whose watch waited through the outage told all others that each lapsed server leaves. That rumour had no version and no way back, so entries that came back under their ids stayed out for good.

Change: 'missing' is a rumour of its own, with the revision of the list that lacked the server, and a newer list that has it wins. Only a server's own word that it leaves is final; it now also outlives an older list. Entries that vanish together are kept until they had the time to come back. Rumours do not take the last listed servers of a target.

--- a/src/daemon/DispatchRumoursTest.cpp
+++ b/src/daemon/DispatchRumoursTest.cpp
@@ -1,5 +1,7 @@
 #include "daemon/DispatchRumours.h"
 
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "daemon/ServerDirectory.h"
@@ -47,18 +49,92 @@
     ServerDirectory first;
     ServerDirectory second;
     BackendServer server { BackendServerId("s1"), DataCentreId("a"), TargetName("m"), "127.0.0.1:1", 8 };
-    second.setList({ server });
+    second.setList({ server }, 5);
     REQUIRE(second.takeChanged());
     server.leaving = true;
-    auto rumours = first.setList({ server });
+    auto rumours = first.setList({ server }, 6);
     REQUIRE(rumours.size() == 1);
-    REQUIRE(first.setList({ server }).empty());
+    REQUIRE(first.setList({ server }, 6).empty());
     REQUIRE(second.hear(rumours[0]));
     REQUIRE(second.takeChanged());
     server.leaving = false;
-    second.setList({ server });
+    second.setList({ server }, 5);
     REQUIRE_FALSE(second.takeChanged());
     REQUIRE(second.servers()[0].leaving);
 }
 
+// Guards against servers that every instance holds as gone for good, because their entries lapsed in an outage of the
+// store and one instance passed that on.
+TEST_CASE("a server whose entry comes back is used again, whatever rumours said of its absence")
+{
+    ServerDirectory reader;
+    ServerDirectory other;
+    ServerDirectory starting;
+    BackendServer back { BackendServerId("s1"), DataCentreId("a"), TargetName("m"), "127.0.0.1:1", 8 };
+    BackendServer gone { BackendServerId("s2"), DataCentreId("a"), TargetName("m"), "127.0.0.1:2", 8 };
+    BackendServer stays { BackendServerId("s3"), DataCentreId("a"), TargetName("m"), "127.0.0.1:3", 8 };
+    reader.setList({ back, gone, stays }, 5);
+    other.setList({ back, gone, stays }, 5);
+    auto rumours = reader.setList({ stays }, 7);
+    REQUIRE(rumours.size() == 2);
+    for (const auto& rumour : rumours) {
+        REQUIRE(other.hear(rumour));
+    }
+    CHECK(other.servers()[0].leaving);
+    CHECK(other.servers()[1].leaving);
+    auto inUse = [](const ServerDirectory& directory) {
+        return std::ranges::count_if(directory.servers(), [](const auto& it) { return !it.leaving; });
+    };
+    // The entry is there again, with the same id.
+    other.setList({ back, stays }, 9);
+    reader.setList({ back, stays }, 9);
+    CHECK(inUse(other) == 2);
+    CHECK(inUse(reader) == 2);
+    // An instance that starts hears the old rumour after its first list.
+    starting.setList({ back, stays }, 9);
+    for (const auto& rumour : rumours) {
+        starting.hear(rumour);
+    }
+    CHECK(inUse(starting) == 2);
+    // Or before it.
+    ServerDirectory late;
+    for (const auto& rumour : rumours) {
+        late.hear(rumour);
+    }
+    late.setList({ back, gone, stays }, 6);
+    CHECK(inUse(late) == 1);
+    late.setList({ back, stays }, 9);
+    CHECK(inUse(late) == 2);
+}
+
+// Guards against a target that is refused as a whole while its servers are listed.
+TEST_CASE("rumours of absence do not take the last servers of a target")
+{
+    ServerDirectory directory;
+    BackendServer missing { BackendServerId("s1"), DataCentreId("a"), TargetName("m"), "127.0.0.1:1", 8 };
+    BackendServer leaving { BackendServerId("s2"), DataCentreId("a"), TargetName("m"), "127.0.0.1:2", 8 };
+    BackendServer elsewhere { BackendServerId("s3"), DataCentreId("a"), TargetName("n"), "127.0.0.1:3", 8 };
+    directory.setList({ missing, leaving, elsewhere }, 5);
+    directory.hear({ "leaving/s2", 1, "" });
+    directory.hear({ "missing/s1", 7, "" });
+    CHECK_FALSE(directory.servers()[0].leaving);
+    CHECK(directory.servers()[1].leaving);
+    CHECK(directory.overruled() == 1);
+}
+
+// Guards against a server that has left and comes back with an older list, as of a restored store.
+TEST_CASE("a server that said that it leaves does not come back after it was gone from the list")
+{
+    ServerDirectory directory;
+    BackendServer left { BackendServerId("s1"), DataCentreId("a"), TargetName("m"), "127.0.0.1:1", 8 };
+    BackendServer stays { BackendServerId("s2"), DataCentreId("a"), TargetName("m"), "127.0.0.1:2", 8 };
+    directory.setList({ left, stays }, 5);
+    left.leaving = true;
+    directory.setList({ left, stays }, 6);
+    directory.setList({ stays }, 7);
+    left.leaving = false;
+    directory.setList({ left, stays }, 9);
+    CHECK(directory.servers()[0].leaving);
+}
+
 } // namespace lagoonspoke
--- a/src/daemon/PeerServiceState.cpp
+++ b/src/daemon/PeerServiceState.cpp
@@ -102,9 +102,13 @@
 
 void PeerService::State::notifyServers()
 {
-    if (directory.takeChanged()) {
-        serversChanged(directory.servers());
+    if (!directory.takeChanged()) {
+        return;
+    }
+    if (auto overruled = directory.overruled(); std::exchange(overruledServers, overruled) != overruled) {
+        LogLine(overruled > 0 ? LogLevel::Warning : LogLevel::Info, "missing_servers_used").add("servers", overruled);
     }
+    serversChanged(directory.servers());
 }
 
 void PeerService::State::scheduleWakeup()
@@ -275,7 +279,7 @@
 
 void PeerService::State::takeServers(std::vector<BackendServer> servers)
 {
-    auto rumours = directory.setList(std::move(servers));
+    auto rumours = directory.setList(std::move(servers), source->serversRevision());
     for (const auto& rumour : rumours) {
         handle(RumourPublished { rumour });
     }
--- a/src/daemon/PeerServiceState.h
+++ b/src/daemon/PeerServiceState.h
@@ -48,6 +48,7 @@
     std::vector<Member> heard; // the members without those that are only listed
     InstanceDirectoryPtr source; // null without one
     ServerDirectory directory;
+    std::size_t overruledServers = 0;
     std::optional<ServerListExchange> exchange; // none without a source, or before the start
     asio::steady_timer timer;
     std::map<InstanceId, std::shared_ptr<PeerLink>> links;
--- a/src/external/CollectionFollower.cpp
+++ b/src/external/CollectionFollower.cpp
@@ -7,6 +7,15 @@
 
 namespace lagoonspoke {
 
+namespace {
+
+// Items removed by one answer that count as lapsed in an outage: this many, and this part of all. Half of the servers
+// may well leave while an instance is cut off.
+constexpr std::ptrdiff_t fewestLapsed = 3;
+constexpr double lapsedFraction = 0.75;
+
+} // namespace
+
 CollectionFollower::CollectionFollower(Options options)
     : m_options(options)
 {
@@ -145,6 +154,12 @@
 
 void CollectionFollower::apply(std::vector<CollectionChange> changes, MonotonicTime now)
 {
+    // A store that was silent while a watch waited is not known to have been away. Entries then lapse together.
+    auto removed = std::ranges::count_if(changes, &CollectionChange::removed);
+    if (removed >= fewestLapsed
+        && static_cast<double>(removed) >= lapsedFraction * static_cast<double>(m_items.size())) {
+        m_returnedAt = now;
+    }
     for (auto& change : changes) {
         if (change.removed) {
             remove(change.item.name, now);
@@ -156,7 +171,8 @@
 
 void CollectionFollower::put(CollectionItem item)
 {
-    m_missing.erase(item.name);
+    // An item that was kept is confirmed even if it did not change.
+    m_changed = m_missing.erase(item.name) > 0 || m_changed;
     auto [it, created] = m_items.try_emplace(std::move(item.name));
     if (created || it->second != item.value) {
         it->second = std::move(item.value);
--- a/src/external/CollectionFollowerTest.cpp
+++ b/src/external/CollectionFollowerTest.cpp
@@ -174,4 +174,31 @@
     CHECK(kit.names() == Names { "copied", "new" });
 }
 
+// Guards against servers that are all taken for gone, because a watch waited through an outage in which their entries
+// lapsed and then told of all of them at once.
+TEST_CASE("Items that lapsed together are kept for the time in which they come back")
+{
+    Kit kit;
+    CollectionList list { {}, 10 };
+    for (int i = 0; i < 6; ++i) {
+        list.items.push_back({ std::to_string(i), "1" });
+    }
+    kit.send(CollectionListed { list });
+    kit.now += 8s;
+    kit.send(CollectionWatched {
+        { { Kit::removal("0"), Kit::removal("1"), Kit::removal("2"), Kit::removal("3"), Kit::removal("4") }, 20 } });
+    CHECK(kit.names().size() == 6);
+    kit.updates = 0;
+    kit.send(
+        CollectionWatched { { { { { "0", "1" }, false }, { { "1", "1" }, false }, { { "2", "1" }, false } }, 25 } });
+    // That they are there again is news, with the revision that shows it.
+    CHECK(kit.updates == 1);
+    CHECK(kit.follower.itemsRevision() == 25);
+    kit.advance(2400ms);
+    CHECK(kit.names() == Names { "0", "1", "2", "5" });
+    // Half of them may be gone for good.
+    kit.send(CollectionWatched { { { Kit::removal("1"), Kit::removal("5") }, 30 } });
+    CHECK(kit.names() == Names { "0", "2" });
+}
+
 } // namespace lagoonspoke
