Refuse grants for servers that the entry knows to be gone

Cause: a dispatcher that was cut off runs on with the list of before. When the cut heals, entries send it requests and obey its grants, although they know that the granted server leaves or is gone.

Change: an entry returns a grant for a server that is leaving in its own list, or that was in an earlier one and is not in this one, and requests another with that server excluded. When the dispatcher has no other it places locally.

--- a/src/dispatch/FallbackPlacer.cpp
+++ b/src/dispatch/FallbackPlacer.cpp
@@ -1,11 +1,15 @@
 #include "dispatch/FallbackPlacer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lagoonspoke {
 
 namespace {
 
+// A dispatcher that was cut off for a while may still grant servers that are gone.
+constexpr std::size_t mostDeparted = 1024;
+
 // Whether the server belongs to the domain "REGION/TARGET".
 bool serves(const BackendServer& server, const DomainId& domain)
 {
@@ -17,7 +21,18 @@
 
 void FallbackPlacer::setServers(std::vector<BackendServer> servers)
 {
-    m_servers = std::move(servers);
+    auto before = std::exchange(m_servers, std::move(servers));
+    auto isListed
+        = [&](const BackendServerId& id) { return std::ranges::count(m_servers, id, &BackendServer::id) > 0; };
+    std::erase_if(m_departed, isListed);
+    for (const auto& server : before) {
+        if (!isListed(server.id)) {
+            m_departed.push_back(server.id);
+        }
+    }
+    while (m_departed.size() > mostDeparted) {
+        m_departed.pop_front();
+    }
     std::erase_if(
         m_limits, [&](const auto& it) { return !std::ranges::count(m_servers, it.first, &BackendServer::id); });
 }
@@ -47,6 +62,12 @@
     return limits;
 }
 
+bool FallbackPlacer::isLeaving(const BackendServerId& id) const
+{
+    auto it = std::ranges::find(m_servers, id, &BackendServer::id);
+    return it != m_servers.end() ? it->leaving : std::ranges::count(m_departed, id) > 0;
+}
+
 bool FallbackPlacer::isWithinLimit(const BackendServerId& server, MonotonicTime now) const
 {
     auto it = m_limits.find(server);
--- a/src/dispatch/FallbackPlacer.h
+++ b/src/dispatch/FallbackPlacer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -37,6 +38,9 @@
     // Whether the request or a part of its prompt is quarantined.
     bool isQuarantined(const PlaceRequest&, MonotonicTime now) const;
 
+    // Whether the server leaves, or was in an earlier list and is not in this one.
+    bool isLeaving(const BackendServerId&) const;
+
     // Counts every active grant of this instance, from a dispatcher or from local placement.
     void addInFlight(const BackendServerId&);
     void removeInFlight(const BackendServerId&);
@@ -64,6 +68,7 @@
     std::mt19937_64 m_random;
     std::size_t m_instanceCount = 1;
     std::vector<BackendServer> m_servers;
+    std::deque<BackendServerId> m_departed; // no longer listed, the latest at the back
     std::map<DomainId, std::map<InstanceId, Floor>> m_floors;
     struct KnownQuarantine {
         MonotonicTime until;
--- a/src/dispatch/PlacementRouter.cpp
+++ b/src/dispatch/PlacementRouter.cpp
@@ -249,6 +249,10 @@
         }
         return;
     }
+    if (m_fallback.isLeaving(grant.server)) {
+        declineGrant(request, grant, from, now);
+        return;
+    }
     recordGrant(request, grant, from, now);
     rememberParts(domain, request, grant.server, now);
     if (domain.owner != from) {
--- a/src/dispatch/PlacementRouter.h
+++ b/src/dispatch/PlacementRouter.h
@@ -161,6 +161,9 @@
     void sendToOwner(const DomainId&, EntryMessage);
     void sendTo(const InstanceId&, const DomainId&, EntryMessage);
     void returnGrant(const InstanceId& dispatcher, const DomainId&, const RequestId&, GrantId);
+    // Returns a grant for a server that this instance knows to leave, as a dispatcher that was cut off does not, and
+    // requests another one.
+    void declineGrant(Request&, const Grant&, const InstanceId& from, MonotonicTime now);
     void recordGrant(Request&, const Grant&, const InstanceId& from, MonotonicTime now);
     void recordLimit(const Request&, const Progress&, MonotonicTime now);
     void clearGrant(Request&);
--- a/src/dispatch/PlacementRouterRequests.cpp
+++ b/src/dispatch/PlacementRouterRequests.cpp
@@ -140,6 +140,30 @@
     sendTo(dispatcher, id, std::move(progress));
 }
 
+void PlacementRouter::declineGrant(Request& request, const Grant& grant, const InstanceId& from, MonotonicTime now)
+{
+    const auto id = request.place.domain;
+    auto& domain = domainOf(id);
+    returnGrant(from, id, grant.request, grant.grant);
+    if (domain.owner != from) {
+        return; // it waits at the current owner
+    }
+    auto& excluded = request.place.excluded;
+    if (std::ranges::count(excluded, grant.server) > 0) {
+        // The dispatcher has no other server, so this instance looks for one itself.
+        request.acknowledged = false;
+        request.fallbackAt = now + m_options.fallbackRetry;
+        setTimer(request);
+        return;
+    }
+    excluded.push_back(grant.server);
+    awaitAcknowledgement(request, domain, now);
+    auto place = request.place;
+    place.remaining = std::max(Duration(0), request.deadline - now);
+    place.waited += now - request.arrived;
+    sendToOwner(id, std::move(place));
+}
+
 void PlacementRouter::recordLimit(const Request& request, const Progress& progress, MonotonicTime now)
 {
     const auto& id = request.place.domain;
--- a/src/dispatch/PlacementRouterTest.cpp
+++ b/src/dispatch/PlacementRouterTest.cpp
@@ -138,6 +138,35 @@
     REQUIRE(returned[0].second.finished);
 }
 
+// Guards against a request that reaches a leaving server, because a dispatcher that was cut off does not know of it.
+TEST_CASE("a grant for a server that the entry knows to leave is returned, and another one requested")
+{
+    EntryFixture entry;
+    bool isListed = GENERATE(true, false);
+    std::vector<BackendServer> servers { makeServer("s2", 3) };
+    if (isListed) {
+        servers.push_back(makeServer("s1", 3));
+        servers.back().leaving = true;
+    }
+    entry.router->handle(ServersChanged { servers }, start);
+    entry.place(makePlace("r1"));
+    auto actions = entry.fromOwner(Grant { RequestId("r1"), GrantId(5), BackendServerId("s1"), "a:1", 2s }, start + 1s);
+    CHECK(deliveredMessages<Grant>(actions).empty());
+    auto returned = sentMessages<Progress>(actions);
+    REQUIRE(returned.size() == 1);
+    CHECK(returned[0].second.finished);
+    auto requested = sentMessages<PlaceRequest>(actions);
+    REQUIRE(requested.size() == 1);
+    CHECK(requested[0].second.excluded == std::vector { BackendServerId("s1") });
+    CHECK(requested[0].second.remaining == 19s);
+    // A dispatcher that has nothing else is not asked for ever.
+    actions = entry.fromOwner(Grant { RequestId("r1"), GrantId(6), BackendServerId("s1"), "a:1", 2s }, start + 1s);
+    CHECK(sentMessages<PlaceRequest>(actions).empty());
+    auto local = deliveredMessages<Grant>(entry.router->advance(start + 1200ms));
+    REQUIRE(local.size() == 1);
+    CHECK(local[0].server == BackendServerId("s2"));
+}
+
 // Guards against requests that wait for a dispatcher that is gone, and against local placement of a request that the
 // dispatcher has acknowledged.
 TEST_CASE("without an acknowledgement the instance places locally up to its share of the slots")
