Believe a refusal only if it names the request

Report: a faulty worker wrote an earlier refusal once more; callers were told 'not run, try again' for requests that ran. It could happen here: a refusal was believed before its id was compared, except on a reused connection that named another id. A connection is closed after a refusal, so one of the same request is not met again.

Change: 'not run' and 'other server' count only with the request's own id; else the attempt fails as a protocol error, which promises nothing. Limits are taken from such answers only as well.

--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -418,11 +418,12 @@
             }
             continue;
         }
-        if (answer.execution != BackendAnswer::Execution::OtherServer) {
+        if (answer.execution != BackendAnswer::Execution::OtherServer && answer.requestId == backendId()) {
             noteLimit(answer);
         }
         auto status = m_connection->head().result_int();
-        if (answer.execution != BackendAnswer::Execution::Ran) {
+        // A refusal of another request says nothing of this one, which may run.
+        if (answer.execution != BackendAnswer::Execution::Ran && answer.requestId == backendId()) {
             co_return AnswerStarted { status, true };
         }
         if (!isExpectedAnswer(answer)) {
