--- a/review/3/case.py
+++ b/review/3/case.py
@@ -21,10 +21,13 @@
     plan = route("plan", "streaming", "wax", TIMEOUT_MS, 2000, canResume=False, targetGapMs=1200, sticky=True)
     await store.put("config", "main", configuration(7, [plan], [service("wax", engine={**LLM, "slots": SLOTS})]))
 
+    begun = set()  # attempts that a worker began to work on
+
     async def run(worker, head, body, writer):
         if not hasattr(worker, "places"):
             worker.places = asyncio.Semaphore(SLOTS)  # what comes beyond the slots waits in the worker's queue
         async with worker.places:
+            begun.add(head.get("attempt-id"))
             events = int(head.start.split(" ")[1].rsplit("/", 1)[1])
             await write_stream(worker, head.get("attempt-id"), writer, events, 0.3)
         return True
@@ -66,14 +69,13 @@
     results = [await it for it in waiting]
     for it in running:
         await it
-    arrived = {attempt for worker in workers for _, attempt, _ in worker.arrivals}
     lost = []
     for attempt, status, whole, took in results:
         unanswered = status <= 0 or not whole
         record(f"waiting request {attempt}: status {status}, whole {whole}, {took:.3f} s, "
-               f"{'reached' if attempt in arrived else 'never reached'} a worker")
-        # Not counted: the deadline was reached, or a worker had it.
-        if unanswered and took < TIMEOUT_MS / 1000 - 0.2 and attempt not in arrived:
+               f"{'begun' if attempt in begun else 'never begun'} by a worker")
+        # Not counted: the deadline was reached, or a worker was at work on it.
+        if unanswered and took < TIMEOUT_MS / 1000 - 0.2 and attempt not in begun:
             lost.append(attempt)
             record(f"LOST: {attempt} was sent whole {sent_until:.3f} at the latest; its connection ended without an answer")
     record(f"requests lost: {len(lost)} of {len(results)}")
