--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -4,6 +4,7 @@
 import json
 import logging
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -348,17 +349,22 @@
             self.stream = None
 
 
+taken_ports = set()
+
+
 def free_port():
-    """A port of loopback that is free for TCP and UDP."""
+    """A port of loopback that is free for TCP and UDP, below those that the kernel gives to outgoing connections."""
     while True:
+        port = random.randrange(15000, 30000)
         with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
-                return port
             except OSError:
                 continue
+        if port not in taken_ports:
+            taken_ports.add(port)
+            return port
 
 
 class Daemon:
