Answer every request before a planned stop ends in a kill

Cause: the shutdown waited for requests without a bound, as no process knew its grace time. Requests waited for slots, dispatchers, bodies and backend servers past SIGKILL, and the hand-over of usage and leases was never reached.

ShutdownTimes plans the steps. RunTimes estimates how long requests of a class run; a request whose run would not end before the shutdown does is refused as not run instead of sent, also while it waits. What still runs at the end gets an answer that promises nothing.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -194,7 +194,8 @@
     }
     if (m_storeServices) {
         add(
-            "store services", [this] { m_storeServices->start(); }, [this] { return m_storeServices->stop(); });
+            "store services", [this] { m_storeServices->start(); },
+            [this] { return m_storeServices->stop(m_shutdown.processEnd); });
     }
     add(
         "traffic",
@@ -247,10 +248,18 @@
 asio::awaitable<void> Daemon::shutDown()
 {
     m_leaving = true;
-    LogLine(LogLevel::Info, "shutdown_started").add("delay_ms", toMilliseconds(m_settings.shutdownDelay));
+    m_shutdown = ShutdownTimes::Make(m_settings, readMonotonicClock());
+    LogLine(LogLevel::Info, "shutdown_started")
+        .add("delay_ms", toMilliseconds(m_shutdown.delay))
+        .add("grace_ms", toMilliseconds(m_settings.shutdownGrace.value_or(Duration(0))));
     // The domains move to other instances at once; callers still come until the balancer notices.
     m_peers->announceLeaving();
-    asio::steady_timer timer(m_io, m_settings.shutdownDelay);
+    if (m_shutdown.requestsEnd) {
+        for (auto& thread : m_traffic) {
+            thread->setRequestsEnd(*m_shutdown.requestsEnd);
+        }
+    }
+    asio::steady_timer timer(m_io, m_shutdown.delay);
     co_await timer.async_wait(useTuple);
     co_await m_supervisor.stop();
     m_io.stop();
@@ -291,6 +300,9 @@
         for (auto& thread : m_traffic) {
             thread->applyLimits(*settings);
         }
+        if (settings->shutdownGrace) {
+            m_settings.shutdownGrace = settings->shutdownGrace;
+        }
         LogLine(LogLevel::Info, "settings_reloaded").add("instance", m_settings.instance.value());
     }
 }
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -11,6 +11,7 @@
 #include "daemon/EngineMonitor.h"
 #include "daemon/ExternalInterfaces.h"
 #include "daemon/PeerService.h"
+#include "daemon/ShutdownTimes.h"
 #include "daemon/StoreServices.h"
 #include "daemon/Supervisor.h"
 #include "daemon/TrafficThread.h"
@@ -73,6 +74,7 @@
     // An instance that would refuse every key is not ready either, so that the load balancer picks another.
     bool m_keyedAdmission = true;
     bool m_leaving = false;
+    ShutdownTimes m_shutdown;
 };
 
 } // namespace lagoonspoke
--- a/src/daemon/StoreServices.cpp
+++ b/src/daemon/StoreServices.cpp
@@ -213,11 +213,13 @@
     }
 }
 
-asio::awaitable<void> StoreServices::stop()
+asio::awaitable<void> StoreServices::stop(std::optional<MonotonicTime> processEnd)
 {
+    auto left = [&] { return processEnd ? *processEnd - readMonotonicClock() : Duration::max(); };
     m_demand.stop();
-    co_await m_usage.handOver(handOverBound);
-    co_await m_leases.release(releaseBound);
+    // The release of leases has the second half of what is left.
+    co_await m_usage.handOver(std::min(handOverBound, left() / 2));
+    co_await m_leases.release(std::min(releaseBound, left()));
     if (m_document) {
         m_document->stop();
     } else {
--- a/src/daemon/TrafficThread.cpp
+++ b/src/daemon/TrafficThread.cpp
@@ -3,11 +3,16 @@
 #include <fmt/format.h>
 
 #include "entry/InstallationLimits.h"
+#include "observe/LogLine.h"
 
 namespace lagoonspoke {
 
 namespace {
 
+constexpr Duration drainPollInterval = std::chrono::milliseconds(20);
+// Time for the answers that end the last requests of a shutdown to be written.
+constexpr Duration lastAnswersBound = std::chrono::milliseconds(100);
+
 HttpExchange::Limits makeLimits(const DaemonSettings& settings)
 {
     HttpExchange::Limits limits;
@@ -122,14 +127,35 @@
     });
 }
 
+void TrafficThread::setRequestsEnd(MonotonicTime end)
+{
+    asio::post(m_io, [this, end] {
+        m_requestsEnd = end;
+        m_service.setRequestsEnd(end);
+        asio::co_spawn(m_io, endLateRequests(), asio::detached);
+    });
+}
+
+asio::awaitable<void> TrafficThread::endLateRequests()
+{
+    asio::steady_timer timer(m_io);
+    while (true) {
+        m_service.endLateRequests();
+        timer.expires_after(drainPollInterval);
+        co_await timer.async_wait(useTuple);
+    }
+}
+
 asio::awaitable<void> TrafficThread::waitUntilIdle(std::function<void()> done)
 {
     asio::steady_timer timer(m_io);
+    auto isLate = [this] { return m_requestsEnd && readMonotonicClock() >= *m_requestsEnd + lastAnswersBound; };
     // The first wait lets idle connections whose next request has just arrived take it up.
     do {
-        timer.expires_after(std::chrono::milliseconds(20));
+        timer.expires_after(drainPollInterval);
         co_await timer.async_wait(useTuple);
-    } while (m_server->activeRequestCount() > 0);
+    } while (m_server->activeRequestCount() > 0 && !isLate());
+    LogLine(LogLevel::Info, "traffic_drained").add("unfinished", m_server->activeRequestCount());
     done();
 }
 
--- a/src/daemon/TrafficThread.h
+++ b/src/daemon/TrafficThread.h
@@ -30,7 +30,10 @@
     void setUsageSink(UsageSink);
     // With false, new requests that carry a key are refused, as the instance may have missed a withdrawal.
     void setAdmitsKeys(bool);
-    // Closes the listener, lets running requests finish, then calls done on this thread.
+    // Begins a shutdown in which every request has its final answer by then.
+    void setRequestsEnd(MonotonicTime);
+    // Closes the listener, lets running requests finish, at most until the time of setRequestsEnd(), then calls done on
+    // this thread.
     void drain(std::function<void()> done);
     void stop();
 
@@ -38,12 +41,14 @@
     TrafficThread(int index, const DaemonSettings&, const CallerDialect&, RequestMetrics&, SendToControl,
         asio::io_context* control);
 
+    asio::awaitable<void> endLateRequests();
     asio::awaitable<void> waitUntilIdle(std::function<void()> done);
 
     void setLimits(const Configuration&);
 
     DaemonSettings m_settings;
     SnapshotPtr m_snapshot; // null before the first
+    std::optional<MonotonicTime> m_requestsEnd;
     std::unique_ptr<asio::io_context> m_ownIo; // null on the control thread
     asio::io_context& m_io;
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
--- a/src/entry/CallerService.cpp
+++ b/src/entry/CallerService.cpp
@@ -51,6 +51,18 @@
     }
 }
 
+void CallerService::endLateRequests()
+{
+    bool ended = m_services.requestsEnd && readMonotonicClock() >= *m_services.requestsEnd;
+    for (auto& runner : m_running) {
+        if (ended) {
+            runner.stop(CallerError::ShuttingDown);
+        } else {
+            runner.stopLateWait();
+        }
+    }
+}
+
 bool CallerService::isValidKey(const std::string& digest) const
 {
     return digest.empty() || (m_snapshot && m_snapshot->findTeamByKey(KeyDigest(digest)));
--- a/src/entry/CallerService.h
+++ b/src/entry/CallerService.h
@@ -22,6 +22,11 @@
     void setUsageSink(UsageSink sink) { m_services.usageSink = std::move(sink); }
     // With false, new requests that carry a key are refused as not_ready; running ones go on.
     void setAdmitsKeys(bool admits) { m_services.admitsKeys = admits; }
+    // Begins a shutdown: from now on only requests run that are expected to end by then.
+    void setRequestsEnd(MonotonicTime end) { m_services.requestsEnd = end; }
+    // Called again and again during a shutdown: refuses the waiting requests that could no longer end in time, and
+    // from the end on gives every request its final answer.
+    void endLateRequests();
     std::size_t idleBackendConnections() const { return m_services.pool.size(); }
 
 private:
--- a/src/entry/RequestConclusion.cpp
+++ b/src/entry/RequestConclusion.cpp
@@ -72,6 +72,9 @@
     progress.promptTokens = m_relay.tokens().prompt().value_or(m_request.promptTokens);
     m_services.placement.report(progress);
     m_grant.reset();
+    if (outcome == FinishOutcome::Completed) {
+        m_services.runTimes.add(m_request.classSpec->name, readMonotonicClock() - m_attemptStart);
+    }
     if (connection && outcome == FinishOutcome::Completed && !m_relay.hasExtraBytes()) {
         m_services.pool.give(std::move(connection));
     }
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -152,6 +152,23 @@
     }
 }
 
+void RequestRunner::stopLateWait()
+{
+    if (m_wait == Wait::Grant && !endsBeforeShutdown()) {
+        stop(CallerError::ShuttingDown);
+    }
+}
+
+bool RequestRunner::endsBeforeShutdown() const
+{
+    // A stream that the caller has a part of is worth continuing even if the end cuts it.
+    if (!m_services.requestsEnd || m_machine.callerReached()) {
+        return true;
+    }
+    auto expected = m_services.runTimes.longest(m_request.classSpec->name).value_or(Duration::max());
+    return std::min(expected, remaining()) <= *m_services.requestsEnd - readMonotonicClock();
+}
+
 void RequestRunner::revoke(const Revoke& revoke)
 {
     bool granting = m_machine.state() == RequestState::AwaitGrant;
@@ -303,6 +320,9 @@
     if (m_interrupt) {
         co_return PlacementRefused { RefusalCode::Overloaded };
     }
+    if (!endsBeforeShutdown()) {
+        co_return Stopped { CallerError::ShuttingDown };
+    }
     auto asked = readMonotonicClock();
     auto place = makePlaceRequest(action);
     auto bound = std::min(place.remaining, m_services.settings.grantTimeout);
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -11,6 +11,7 @@
 #include "entry/BackendPool.h"
 #include "entry/CallerDialect.h"
 #include "entry/PlacementClient.h"
+#include "entry/RunTimes.h"
 #include "http/CallerWatch.h"
 #include "lagoonspoke/usage/UsageRecord.h"
 #include "observe/RequestMetrics.h"
@@ -32,6 +33,9 @@
     std::map<DomainId, RetryBudget> budgets;
     // False while the instance cannot know whether keys were withdrawn.
     bool admitsKeys = true;
+    RunTimes runTimes {};
+    // In a shutdown, the time by which every request has its final answer.
+    std::optional<MonotonicTime> requestsEnd {};
 };
 
 // Runs one request: feeds the RequestMachine with what happens on the sockets and executes its actions.
@@ -46,6 +50,8 @@
     asio::awaitable<void> run();
     // Ends the request: withdrawn key, deadline, caller left.
     void stop(CallerError reason);
+    // Ends a request that waits for a backend server, if its run would not end before the shutdown does.
+    void stopLateWait();
     // Moves the request to another backend server if that is possible.
     void revoke(const Revoke&);
 
@@ -89,6 +95,8 @@
     const std::string& backendId() const { return m_request.callerId.empty() ? m_id.value() : m_request.callerId; }
     PlaceRequest makePlaceRequest(const AskForGrant&) const;
     Duration remaining() const;
+    // Whether a run that starts now is expected to end before the shutdown does; true without a shutdown.
+    bool endsBeforeShutdown() const;
     Progress makeProgress() const;
     // Counts the request as begun, once, where usage goes by that.
     void countStart();
--- a/src/http/CallerError.cpp
+++ b/src/http/CallerError.cpp
@@ -39,6 +39,7 @@
     Entry { CallerError::InvalidRequest, "invalid_request", 400, "the body must be a JSON object with a model" },
     Entry { CallerError::UnknownModel, "unknown_model", 404, "there is no such model" },
     Entry { CallerError::NotReady, "not_ready", 503, "the instance has no current configuration" },
+    Entry { CallerError::ShuttingDown, "shutting_down", 503, "the instance is shutting down" },
     Entry { CallerError::Overloaded, "overloaded", 503, "there is no capacity for the request's class" },
     Entry { CallerError::TeamLimit, "team_limit", 429, "a limit of the team is reached" },
     Entry { CallerError::QueueFull, "queue_full", 503, "the queue of the request's class is full" },
--- a/src/http/CallerError.h
+++ b/src/http/CallerError.h
@@ -28,6 +28,7 @@
     InvalidRequest,
     UnknownModel,
     NotReady,
+    ShuttingDown,
     Overloaded,
     TeamLimit,
     QueueFull,
--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -58,6 +58,9 @@
     read("first_byte_timeout_ms", settings.firstByteTimeout);
     read("token_gap_timeout_ms", settings.tokenGapTimeout);
     settings.shutdownDelay = reader.readMilliseconds("shutdown_delay_ms", 0ms, 10min, settings.shutdownDelay);
+    if (reader.has("shutdown_grace_s")) {
+        settings.shutdownGrace = fromSeconds(reader.readNumber("shutdown_grace_s", 0.1, 3600));
+    }
     settings.usageWindow = reader.readMilliseconds("usage_window_ms", 100ms, 1h, settings.usageWindow);
 }
 
--- a/src/settings/DaemonSettings.h
+++ b/src/settings/DaemonSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,8 @@
     Duration tokenGapTimeout = std::chrono::seconds(5);
     // Time between readiness going false and the listener closing, for the balancer to notice.
     Duration shutdownDelay = std::chrono::seconds(2);
+    // Time from the signal to end until the process is killed; absent when nothing kills it.
+    std::optional<Duration> shutdownGrace;
     Duration usageWindow = std::chrono::seconds(60);
     // Whether a backend server's answer without a length may end with its connection.
     bool acceptsUnframedAnswers = false;
--- a/src/settings/DaemonSettingsTest.cpp
+++ b/src/settings/DaemonSettingsTest.cpp
@@ -35,6 +35,22 @@
            "instance_list_address: must be IP:port\n");
 }
 
+// Guards against a process that does not know when it is killed, as whole and fractional seconds may stand there.
+TEST_CASE("the time until a process is killed is read in seconds")
+{
+    auto read = [](std::string_view grace) {
+        return parseDaemonSettings(R"({ "instance": "i", "data_centre": "a", "region": "r", "static_file": "x",
+            "caller_address": "127.0.0.1:0", "admin_address": "127.0.0.1:0")"
+            + std::string(grace) + "}");
+    };
+    CHECK_FALSE(read("")->shutdownGrace);
+    CHECK(read(R"(, "shutdown_grace_s": 8)")->shutdownGrace == std::chrono::seconds(8));
+    CHECK(read(R"(, "shutdown_grace_s": 7.5)")->shutdownGrace == std::chrono::milliseconds(7500));
+    auto refused = read(R"(, "shutdown_grace_s": 0)");
+    REQUIRE_FALSE(refused);
+    CHECK(formatErrors(refused.error()) == "shutdown_grace_s: must be from 0.1 to 3600, is 0\n");
+}
+
 // Guards against input that ends the process or is refused without a reason.
 TEST_CASE("damaged settings are read or refused with a reason")
 {
