Hold less of answers without a length

With 100 answers without a length or an end at one daemon, real processes, the peak was still 116 MB after the bound of 16 MiB (304 MB before it): the buffers of answers of unknown size grow by doubling, side by side, and the freed halves stay with the process.

Change: answers without a length are held up to 64 KiB, the others in a buffer of their length from the start.

--- a/src/entry/AnswerRelay.cpp
+++ b/src/entry/AnswerRelay.cpp
@@ -1,5 +1,7 @@
 #include "entry/AnswerRelay.h"
 
+#include <algorithm>
+
 #include <absl/strings/ascii.h>
 #include <fmt/format.h>
 
@@ -11,6 +13,8 @@
 
 // Answers up to this size are held until they are whole, so that a broken one can still be repeated.
 constexpr std::uint64_t maxWholeBytes = 1 << 20;
+// The same for answers without a length, whose buffers grow, and which may have no end.
+constexpr std::uint64_t maxUnframedBytes = 64 << 10;
 
 bool isEventStream(std::string_view contentType)
 {
@@ -131,14 +135,14 @@
     co_return ec;
 }
 
-bool AnswerRelay::mayHold(std::size_t bytes, bool completion) const
+bool AnswerRelay::mayHold(std::size_t bytes, bool hasLength, bool completion) const
 {
     auto limit = static_cast<std::size_t>(m_settings.maxBodyBytes);
     // Other answers can be passed on; this one would be lost. Up to the smaller limit it is held at any rate.
     if (completion) {
         return bytes <= maxWholeBytes || (bytes <= limit && m_held.hasRoom());
     }
-    return bytes <= maxWholeBytes && m_held.hasRoom();
+    return bytes <= (hasLength ? maxWholeBytes : maxUnframedBytes) && m_held.hasRoom();
 }
 
 asio::awaitable<RequestEvent> AnswerRelay::relayWhole(BackendConnection& connection, bool completion)
@@ -146,6 +150,8 @@
     m_mode = Mode::Whole;
     m_tail.clear();
     m_share.set(0);
+    auto length = connection.contentLength();
+    m_tail.reserve(std::min(length.value_or(0), maxWholeBytes));
     std::string part;
     while (true) {
         if (auto ec = co_await readPart(connection, part, m_settings.tokenGapTimeout)) {
@@ -159,7 +165,7 @@
         }
         m_tail += part;
         m_share.set(m_tail.size());
-        if (mayHold(m_tail.size(), completion)) {
+        if (mayHold(m_tail.size(), length.has_value(), completion)) {
             continue;
         }
         if (completion) {
--- a/src/entry/AnswerRelay.h
+++ b/src/entry/AnswerRelay.h
@@ -65,7 +65,7 @@
     // Holds the answer back until it is whole. An answer that is too large to be held is passed on in parts, but for
     // that of a completion, whose tokens are counted in the whole body.
     asio::awaitable<RequestEvent> relayWhole(BackendConnection&, bool completion);
-    bool mayHold(std::size_t bytes, bool completion) const;
+    bool mayHold(std::size_t bytes, bool hasLength, bool completion) const;
     asio::awaitable<RequestEvent> relayParts(BackendConnection&, std::string held);
     asio::awaitable<RequestEvent> relayEvents(BackendConnection&);
     // What the end of a stream means; hasEvents tells whether this attempt brought any.
