Explain refusals at a shutdown to operators

lagoonspokectl explain told a request with the new code shutting_down as one with an unknown end. It names the shutdown now, and lists what servers said of themselves (server_signal). The test of it and the others of ctlTests pass.

--- a/tools/ctl/LogStory.cpp
+++ b/tools/ctl/LogStory.cpp
@@ -24,7 +24,7 @@
 // Events about a domain, of whichever instance runs its dispatcher.
 constexpr std::string_view domainEvents[] = { "requests_waiting", "dispatcher_started", "dispatcher_stopped" };
 // Events about one backend server.
-constexpr std::string_view serverEvents[] = { "backend_server_leaving" };
+constexpr std::string_view serverEvents[] = { "backend_server_leaving", "server_signal" };
 
 bool isOneOf(std::string_view event, std::span<const std::string_view> events)
 {
@@ -140,6 +140,11 @@
                            "caller was told to come back after {} ms",
             code, finished.field("run") == "not-run" ? "not run" : "perhaps run", finished.field("retry_after_ms"));
     }
+    if (code == "shutting_down") {
+        return fmt::format("refused (shutting_down): it has {}; its instance was told to end, and was not expected to "
+                           "see the end of the request (shutdown_started, grace_ms)",
+            finished.field("run") == "not-run" ? "not run" : "perhaps run");
+    }
     if (code.starts_with("backend_")) {
         return fmt::format("failed at {} ({}); {} other requests failed there within a second: {}", server, code,
             others, others > 0 ? "the server or the way to it failed" : "this answer alone was lost or damaged");
--- a/tools/ctl/LogStoryTest.cpp
+++ b/tools/ctl/LogStoryTest.cpp
@@ -57,6 +57,18 @@
     REQUIRE(story.conclusion.find("300 ms") != std::string::npos);
 }
 
+// Guards against a refusal at a planned stop that is told as one for want of capacity.
+TEST_CASE("a refusal at a shutdown names the shutdown")
+{
+    auto story
+        = tell(R"(time=2026-12-04T11:00:02.000Z level=info instance=a event=shutdown_started delay_ms=2000 grace_ms=8000
+time=2026-12-04T11:00:02.500Z level=warning instance=a event=request_finished request=a-1 caller_id=c1 code=shutting_down run=not-run
+)",
+            "c1");
+    REQUIRE(eventsOf(story) == std::vector<std::string> { "shutdown_started", "request_finished" });
+    REQUIRE(story.conclusion.find("refused (shutting_down): it has not run") == 0);
+}
+
 // Guards against blaming a server for one lost answer, or one answer for a dead server.
 TEST_CASE("a failure at a server tells whether others failed there")
 {
