List a domain's servers for local placement only if some refused

Local placement built the list of the domain's servers for each request although no server had sent a signal; requestServer already asks that first. Behaviour is the same. dispatchTests pass, 91 cases.

--- a/src/dispatch/PlacementRouterRequests.cpp
+++ b/src/dispatch/PlacementRouterRequests.cpp
@@ -283,7 +283,9 @@
         sendToOwner(domainId, Withdraw { id, domainId });
         return;
     }
-    m_signals.addTo(request.place.excluded, m_fallback.serversOf(request.place.domain), now);
+    if (!m_signals.empty()) {
+        m_signals.addTo(request.place.excluded, m_fallback.serversOf(domainId), now);
+    }
     const auto* server = m_fallback.choose(request.place, m_placedLocally[request.place.domain], now);
     if (!server) {
         request.fallbackAt = now + m_options.fallbackRetry;
