Log and count bytes in numbered streams that are no event

parseNumberedEvent tells an event from a comment and from a fault by name. For now the relay only reports: the line stream_fault has the request, server, fault, the event before it, the framing, the reuse and whether the bytes begin like an answer of their own, not the bytes. lagoonspoke_stream_faults_total counts them by fault. What is passed on is unchanged.

--- a/src/entry/AnswerRelay.cpp
+++ b/src/entry/AnswerRelay.cpp
@@ -88,11 +88,11 @@
         m_mode = Mode::NumberedEvents;
         co_return co_await relayEvents(connection);
     }
-    if (!length && !connection.isChunked() && !m_settings.acceptsUnframedAnswers) {
+    bool unframed = connection.framing() == AnswerFraming::ConnectionEnd;
+    if (unframed && !m_settings.acceptsUnframedAnswers) {
         // The end of such an answer cannot be told from a broken connection.
         co_return AttemptFailed { AttemptFailure::Protocol };
     }
-    bool unframed = !length && !connection.isChunked();
     if (completion || unframed || (length && *length <= maxWholeBytes)) {
         co_return co_await relayWhole(connection, completion);
     }
@@ -243,7 +243,7 @@
 RequestEvent AnswerRelay::endOfEvents(const BackendConnection& connection, bool hasEvents) const
 {
     // The end of the connection is also that of a server that died, so it must follow a whole event.
-    bool unframed = !connection.contentLength() && !connection.isChunked();
+    bool unframed = connection.framing() == AnswerFraming::ConnectionEnd;
     if (unframed && (!hasEvents || m_events.hasPartialEvent())) {
         return AttemptFailed { AttemptFailure::Broken };
     }
@@ -301,6 +301,9 @@
 
 bool AnswerRelay::takeEventId(std::string_view event)
 {
+    if (const auto part = parseNumberedEvent(event); const auto* fault = std::get_if<StreamFault>(&part)) {
+        m_observer.noteStreamFault(*fault, event);
+    }
     auto id = eventIdOf(event);
     if (id.empty()) {
         return true;
--- a/src/entry/AnswerRelay.h
+++ b/src/entry/AnswerRelay.h
@@ -7,6 +7,7 @@
 #include "entry/RequestAdmission.h"
 #include "entry/RequestMachine.h"
 #include "entry/TokenCounter.h"
+#include "http/NumberedEvent.h"
 #include "http/SseReader.h"
 #include "settings/DaemonSettings.h"
 
@@ -26,6 +27,8 @@
     virtual ~AnswerObserver() = default;
     virtual void noteReceived(int tokens) = 0;
     virtual void noteCallerReached() = 0;
+    // Bytes of a stream are no event of it.
+    virtual void noteStreamFault(StreamFault, std::string_view bytes) = 0;
     virtual void setWait(Wait) = 0;
     virtual bool isInterrupted() const = 0;
 };
--- a/src/entry/BackendConnection.cpp
+++ b/src/entry/BackendConnection.cpp
@@ -22,6 +22,19 @@
 
 } // namespace
 
+std::string_view toString(AnswerFraming framing)
+{
+    switch (framing) {
+    case AnswerFraming::Length:
+        return "length";
+    case AnswerFraming::Chunks:
+        return "chunks";
+    case AnswerFraming::ConnectionEnd:
+        break;
+    }
+    return "connection_end";
+}
+
 BackendConnection::BackendConnection(asio::any_io_executor executor, std::string address)
     : m_address(std::move(address))
     , m_stream(std::move(executor))
@@ -106,7 +119,7 @@
 asio::awaitable<bool> BackendConnection::skipAnswer(Duration bound)
 {
     constexpr std::size_t mostSkipped = 64 * 1024;
-    if (!contentLength() && !isChunked()) {
+    if (framing() == AnswerFraming::ConnectionEnd) {
         co_return false;
     }
     std::string part;
@@ -147,6 +160,14 @@
     return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
 
+AnswerFraming BackendConnection::framing() const
+{
+    if (m_parser->chunked()) {
+        return AnswerFraming::Chunks;
+    }
+    return m_parser->content_length() ? AnswerFraming::Length : AnswerFraming::ConnectionEnd;
+}
+
 bool BackendConnection::isReusable()
 {
     return !m_closed && isDone() && m_parser->keep_alive() && m_buffer.size() == 0 && isStillIdle();
--- a/src/entry/BackendConnection.h
+++ b/src/entry/BackendConnection.h
@@ -10,6 +10,15 @@
 
 namespace lagoonspoke {
 
+// What ends the body of an answer.
+enum class AnswerFraming {
+    Length,
+    Chunks,
+    ConnectionEnd,
+};
+
+std::string_view toString(AnswerFraming);
+
 // A connection to a backend server, with one request at a time. Owned by the coroutine of the request that it
 // carries, or by the BackendPool while it is idle.
 class BackendConnection {
@@ -32,7 +41,7 @@
     asio::awaitable<bool> skipAnswer(Duration bound);
     const http::response_header<>& head() const { return m_parser->get(); }
     std::optional<std::uint64_t> contentLength() const;
-    bool isChunked() const { return m_parser->chunked(); }
+    AnswerFraming framing() const;
     bool isDone() const { return m_parser && m_parser->is_done(); }
 
     // Whether the response is complete, no byte came after it, and the server keeps the connection open.
--- a/src/entry/RequestAnswer.cpp
+++ b/src/entry/RequestAnswer.cpp
@@ -100,6 +100,23 @@
     co_return AttemptFailed { AttemptFailure::Protocol };
 }
 
+void RequestRunner::noteStreamFault(StreamFault fault, std::string_view bytes)
+{
+    m_services.metrics.countStreamFault(toString(fault));
+    // The bytes themselves may belong to a team.
+    LogLine(LogLevel::Warning, "stream_fault")
+        .add("request", m_id.value())
+        .add("caller_id", m_request.callerId)
+        .add("attempt", m_machine.attempts())
+        .add("server", m_server.value())
+        .add("fault", toString(fault))
+        .add("after_id", m_relay.lastEventId())
+        .add("framing", toString(m_connection->framing()))
+        .add("connection_reused", m_connection->reused())
+        .add("bytes", bytes.size())
+        .add("response_head", bytes.starts_with("HTTP/1."));
+}
+
 RequestRunner::Next RequestRunner::relayAnswer()
 {
     co_return co_await m_relay.relay(*m_connection, m_request);
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -77,6 +77,7 @@
 
     void noteReceived(int tokens) override;
     void noteCallerReached() override;
+    void noteStreamFault(StreamFault, std::string_view bytes) override;
     void setWait(Wait wait) override { m_wait = wait; }
     bool isInterrupted() const override { return m_interrupt.has_value(); }
 
--- a/src/http/SseReader.cpp
+++ b/src/http/SseReader.cpp
@@ -19,8 +19,9 @@
     return text.substr(position, 2) == "\r\n" ? 2 : 0;
 }
 
-// Removes the first line and gives it without its line break.
-std::string_view takeLine(std::string_view& text)
+} // namespace
+
+std::string_view detail::takeLine(std::string_view& text)
 {
     auto end = text.find('\n');
     auto line = text.substr(0, end);
@@ -31,8 +32,6 @@
     return line;
 }
 
-} // namespace
-
 std::optional<std::string_view> SseReader::next()
 {
     if (m_position > 0 && m_position == m_buffer.size()) {
@@ -69,7 +68,7 @@
 {
     std::string_view id;
     while (!event.empty()) {
-        if (auto line = takeLine(event); line.starts_with("id:")) {
+        if (auto line = detail::takeLine(event); line.starts_with("id:")) {
             id = line.substr(3);
             id.remove_prefix(std::min(id.find_first_not_of(' '), id.size()));
         }
@@ -82,7 +81,7 @@
     std::string data;
     bool any = false;
     while (!event.empty()) {
-        auto line = takeLine(event);
+        auto line = detail::takeLine(event);
         if (!line.starts_with("data:")) {
             continue;
         }
--- a/src/http/SseReader.h
+++ b/src/http/SseReader.h
@@ -6,6 +6,13 @@
 
 namespace lagoonspoke {
 
+namespace detail {
+
+// Removes the first line and gives it without its line break.
+std::string_view takeLine(std::string_view& text);
+
+} // namespace detail
+
 // Splits a stream of server-sent events into whole events, so that a stream that breaks inside an event can be
 // resumed after the last whole one. Owned by the coroutine that relays the stream.
 class SseReader {
--- a/src/observe/RequestMetrics.cpp
+++ b/src/observe/RequestMetrics.cpp
@@ -36,6 +36,10 @@
                      .Name("lagoonspoke_requests_total")
                      .Help("Finished requests by class, team and outcome code; completed ones have code=\"ok\".")
                      .Register(registry))
+    , m_streamFaults(prometheus::BuildCounter()
+                         .Name("lagoonspoke_stream_faults_total")
+                         .Help("Streams of backend servers with bytes that are no event, by what is wrong with them.")
+                         .Register(registry))
 {
 }
 
@@ -70,6 +74,11 @@
         .Increment();
 }
 
+void RequestMetrics::countStreamFault(std::string_view fault)
+{
+    m_streamFaults.Add({ { "fault", std::string(fault) } }).Increment();
+}
+
 void RequestMetrics::countUnknown(std::string_view code)
 {
     m_outcomes.Add({ { "class", "none" }, { "team", "none" }, { "code", std::string(code) } }).Increment();
--- a/src/observe/RequestMetrics.h
+++ b/src/observe/RequestMetrics.h
@@ -39,6 +39,8 @@
     void countOutcome(const Series&, std::string_view code);
     // Counts a request that was refused before its team and class were known.
     void countUnknown(std::string_view code);
+    // Counts bytes of a stream that are no event of it.
+    void countStreamFault(std::string_view fault);
 
 private:
     std::string labelOf(const TeamId&);
@@ -49,6 +51,7 @@
     prometheus::Family<prometheus::Histogram>& m_total;
     prometheus::Family<prometheus::Counter>& m_wastedTokens;
     prometheus::Family<prometheus::Counter>& m_outcomes;
+    prometheus::Family<prometheus::Counter>& m_streamFaults;
     std::mutex m_mutex;
     std::set<TeamId> m_teams;
     std::map<std::pair<ClassName, std::string>, std::unique_ptr<Series>> m_series;
