End an attempt whose numbered stream holds bytes that are no event

Cause: AnswerRelay split a stream at blank lines and passed on every part. takeEventId looked for an id only to drop repeated events and let each part pass that had none, or one that it could not compare; such an id even became the one to resume from.

NumberedEventReader is now the only reader of these streams. It gives an event (fields and comments, one id that is a number and rises within the attempt, data), or a fault. Events before the fault are those of the run and go out; nothing after it does. The attempt fails as a protocol error: resumed after the last good id where the route allows it, else cut, or refused as possibly run before the first event. Comments are left out; they no longer begin an answer. A failed attempt's connection is not kept, as before.

--- a/src/entry/AnswerRelay.cpp
+++ b/src/entry/AnswerRelay.cpp
@@ -5,7 +5,7 @@
 #include <absl/strings/ascii.h>
 #include <fmt/format.h>
 
-#include "lagoonspoke/core/Text.h"
+#include "lagoonspoke/core/Overload.h"
 
 namespace lagoonspoke {
 
@@ -71,6 +71,7 @@
     }
     m_tokens.startAttempt();
     m_events.reset();
+    m_numberedEvents.startAttempt();
     m_sawToken = false;
     auto length = connection.contentLength();
     m_bodyless = m_exchange.isHead() || m_status == http::status::no_content || m_status == http::status::not_modified;
@@ -228,13 +229,15 @@
         }
         if (part.empty()) {
             m_tail.clear();
-            co_return endOfEvents(connection, m_eventCount > eventsBefore);
+            bool numbered = m_mode == Mode::NumberedEvents;
+            co_return endOfEvents(connection, numbered ? m_numberedEvents.hasEvents() : m_eventCount > eventsBefore);
         }
-        auto before = m_eventCount;
-        if (auto event = co_await relayPart(part)) {
+        auto before = partCount();
+        auto relayed = m_mode == Mode::NumberedEvents ? relayNumberedPart(part) : relayPart(part);
+        if (auto event = co_await std::move(relayed)) {
             co_return *event;
         }
-        if (m_eventCount > before) {
+        if (partCount() > before) {
             m_lastEventAt = readMonotonicClock();
         }
     }
@@ -242,14 +245,20 @@
 
 RequestEvent AnswerRelay::endOfEvents(const BackendConnection& connection, bool hasEvents) const
 {
+    bool numbered = m_mode == Mode::NumberedEvents;
+    bool partial = numbered ? m_numberedEvents.hasPartialEvent() : m_events.hasPartialEvent();
     // The end of the connection is also that of a server that died, so it must follow a whole event.
     bool unframed = connection.framing() == AnswerFraming::ConnectionEnd;
-    if (unframed && (!hasEvents || m_events.hasPartialEvent())) {
+    if (unframed && (!hasEvents || partial)) {
         return AttemptFailed { AttemptFailure::Broken };
     }
     // A clean end is that of a numbered stream, but for half an event; without [DONE] no other stream is whole.
-    bool complete = m_mode == Mode::NumberedEvents && !m_events.hasPartialEvent();
-    return complete ? RequestEvent(AnswerCompleted {}) : AttemptFailed { AttemptFailure::Protocol };
+    return numbered && !partial ? RequestEvent(AnswerCompleted {}) : AttemptFailed { AttemptFailure::Protocol };
+}
+
+std::uint64_t AnswerRelay::partCount() const
+{
+    return m_mode == Mode::NumberedEvents ? m_numberedEvents.partCount() : m_eventCount;
 }
 
 asio::awaitable<std::optional<RequestEvent>> AnswerRelay::relayPart(std::string_view part)
@@ -260,14 +269,6 @@
     bool done = false;
     while (auto event = done ? std::nullopt : m_events.next()) {
         ++m_eventCount;
-        if (m_mode == Mode::NumberedEvents) {
-            if (takeEventId(*event)) {
-                m_tokens.countEvent();
-                ++tokens;
-                m_tail += *event;
-            }
-            continue;
-        }
         auto kind = m_tokens.observe(*event);
         tokens += kind == TokenCounter::EventKind::Token;
         m_sawToken = m_sawToken || kind == TokenCounter::EventKind::Token;
@@ -288,33 +289,59 @@
     if (done) {
         co_return AnswerCompleted {};
     }
-    auto ec = co_await startAnswer(0);
-    if (!ec) {
-        ec = co_await writeParts(m_tail);
-    }
-    m_tail.clear();
-    if (ec) {
+    if (auto ec = co_await writeEvents()) {
         co_return callerLost(ec);
     }
     co_return std::nullopt;
 }
 
-bool AnswerRelay::takeEventId(std::string_view event)
+asio::awaitable<std::optional<RequestEvent>> AnswerRelay::relayNumberedPart(std::string_view part)
 {
-    if (const auto part = parseNumberedEvent(event); const auto* fault = std::get_if<StreamFault>(&part)) {
-        m_observer.noteStreamFault(*fault, event);
+    m_numberedEvents.append(part);
+    m_tail.clear();
+    int tokens = 0;
+    std::optional<FaultyPart> faulty;
+    while (auto item = faulty ? std::nullopt : m_numberedEvents.next()) {
+        std::visit(Overload {
+                       [&](const NumberedEvent& event) {
+                           m_tokens.countEvent();
+                           ++tokens;
+                           m_tail += event.text;
+                       },
+                       [&](const FaultyPart& it) { faulty = it; },
+                   },
+            *item);
     }
-    auto id = eventIdOf(event);
-    if (id.empty()) {
-        return true;
+    if (faulty) {
+        m_observer.noteStreamFault(faulty->fault, faulty->text);
     }
-    auto number = parseNumber<std::int64_t>(id);
-    auto last = parseNumber<std::int64_t>(m_lastEventId);
-    if (number && last && *number <= *last) {
-        return false;
+    // The events before a fault are those of the run.
+    if (!m_tail.empty()) {
+        m_observer.noteReceived(tokens);
+        if (auto ec = co_await writeEvents()) {
+            co_return callerLost(ec);
+        }
     }
-    m_lastEventId = id;
-    return true;
+    if (faulty) {
+        co_return AttemptFailed { AttemptFailure::Protocol };
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<error_code> AnswerRelay::writeEvents()
+{
+    auto ec = co_await startAnswer(0);
+    if (!ec) {
+        ec = co_await writeParts(m_tail);
+    }
+    m_tail.clear();
+    co_return ec;
+}
+
+std::string AnswerRelay::lastEventId() const
+{
+    auto id = m_numberedEvents.lastId();
+    return id ? std::to_string(*id) : std::string();
 }
 
 asio::awaitable<error_code> AnswerRelay::finish()
--- a/src/entry/AnswerRelay.h
+++ b/src/entry/AnswerRelay.h
@@ -7,7 +7,7 @@
 #include "entry/RequestAdmission.h"
 #include "entry/RequestMachine.h"
 #include "entry/TokenCounter.h"
-#include "http/NumberedEvent.h"
+#include "http/NumberedEventReader.h"
 #include "http/SseReader.h"
 #include "settings/DaemonSettings.h"
 
@@ -50,7 +50,7 @@
 
     const TokenCounter& tokens() const { return m_tokens; }
     // Of the last event of a numbered stream that went to the caller; empty before the first.
-    const std::string& lastEventId() const { return m_lastEventId; }
+    std::string lastEventId() const;
     // Whether bytes followed the end of the answer.
     bool hasExtraBytes() const { return m_events.hasPartialEvent(); }
     unsigned status() const { return static_cast<unsigned>(m_status); }
@@ -73,11 +73,12 @@
     asio::awaitable<RequestEvent> relayEvents(BackendConnection&);
     // What the end of a stream means; hasEvents tells whether this attempt brought any.
     RequestEvent endOfEvents(const BackendConnection&, bool hasEvents) const;
-    bool relaysEvents() const { return m_mode == Mode::Events || m_mode == Mode::NumberedEvents; }
-    // Notes the event's id; false when it came before, as the first events of a resumed stream may.
-    bool takeEventId(std::string_view event);
-    // Moves the whole events of a part to the caller; nothing while the stream goes on.
+    // Whole events of all attempts, and what else the stream is made of.
+    std::uint64_t partCount() const;
+    // Move the whole events of a part to the caller; nothing while the stream goes on.
     asio::awaitable<std::optional<RequestEvent>> relayPart(std::string_view part);
+    asio::awaitable<std::optional<RequestEvent>> relayNumberedPart(std::string_view part);
+    asio::awaitable<error_code> writeEvents();
     asio::awaitable<error_code> readPart(BackendConnection&, std::string& part, Duration bound);
     asio::awaitable<error_code> writeParts(std::string_view data);
     asio::awaitable<error_code> startAnswer(std::uint64_t length);
@@ -90,6 +91,7 @@
     TokenCounter m_tokens;
     SseReader m_events;
     std::uint64_t m_eventCount = 0; // whole events of all attempts
+    NumberedEventReader m_numberedEvents;
     MonotonicTime m_lastEventAt {}; // in the current attempt, or its start
     Mode m_mode = Mode::Whole;
     http::status m_status = http::status::ok;
@@ -99,7 +101,6 @@
     bool m_bodyless = false;
     bool m_started = false;
     bool m_sawToken = false; // in the current attempt
-    std::string m_lastEventId;
     std::string m_tail;
 };
 
