--- a/src/entry/AnswerRelay.cpp
+++ b/src/entry/AnswerRelay.cpp
@@ -267,9 +267,14 @@
     m_tail.clear();
     int tokens = 0;
     bool done = false;
-    while (auto event = done ? std::nullopt : m_events.next()) {
+    std::optional<FaultyPart> faulty;
+    while (auto event = done || faulty ? std::nullopt : m_events.next()) {
         ++m_eventCount;
         auto kind = m_tokens.observe(*event);
+        if (bool known = hasOnlyEventLines(*event); !known || kind == TokenCounter::EventKind::Invalid) {
+            faulty = FaultyPart { known ? StreamFault::InvalidData : StreamFault::UnknownLine, *event };
+            continue;
+        }
         tokens += kind == TokenCounter::EventKind::Token;
         m_sawToken = m_sawToken || kind == TokenCounter::EventKind::Token;
         done = kind == TokenCounter::EventKind::Done;
@@ -279,20 +284,15 @@
         }
         m_tail += *event;
     }
-    if (m_events.overflowed()) {
-        co_return AttemptFailed { AttemptFailure::Protocol };
-    }
-    if (m_tail.empty()) {
-        co_return std::nullopt;
+    if (!faulty && m_events.overflowed()) {
+        faulty = FaultyPart { StreamFault::TooLarge, {} };
     }
-    m_observer.noteReceived(tokens);
-    if (done) {
+    if (done && !faulty) {
+        // The end marker stays back until the answer is finished.
+        m_observer.noteReceived(tokens);
         co_return AnswerCompleted {};
     }
-    if (auto ec = co_await writeEvents()) {
-        co_return callerLost(ec);
-    }
-    co_return std::nullopt;
+    co_return co_await passOnEvents(tokens, faulty);
 }
 
 asio::awaitable<std::optional<RequestEvent>> AnswerRelay::relayNumberedPart(std::string_view part)
@@ -312,13 +312,24 @@
                    },
             *item);
     }
+    co_return co_await passOnEvents(tokens, faulty);
+}
+
+asio::awaitable<std::optional<RequestEvent>> AnswerRelay::passOnEvents(
+    int tokens, const std::optional<FaultyPart>& faulty)
+{
     if (faulty) {
         m_observer.noteStreamFault(faulty->fault, faulty->text);
     }
     // The events before a fault are those of the run.
     if (!m_tail.empty()) {
         m_observer.noteReceived(tokens);
-        if (auto ec = co_await writeEvents()) {
+        auto ec = co_await startAnswer(0);
+        if (!ec) {
+            ec = co_await writeParts(m_tail);
+        }
+        m_tail.clear();
+        if (ec) {
             co_return callerLost(ec);
         }
     }
@@ -328,16 +339,6 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<error_code> AnswerRelay::writeEvents()
-{
-    auto ec = co_await startAnswer(0);
-    if (!ec) {
-        ec = co_await writeParts(m_tail);
-    }
-    m_tail.clear();
-    co_return ec;
-}
-
 std::string AnswerRelay::lastEventId() const
 {
     auto id = m_numberedEvents.lastId();
--- a/src/entry/AnswerRelay.h
+++ b/src/entry/AnswerRelay.h
@@ -78,7 +78,8 @@
     // Move the whole events of a part to the caller; nothing while the stream goes on.
     asio::awaitable<std::optional<RequestEvent>> relayPart(std::string_view part);
     asio::awaitable<std::optional<RequestEvent>> relayNumberedPart(std::string_view part);
-    asio::awaitable<error_code> writeEvents();
+    // Passes on the events that were collected; a fault behind them ends the attempt.
+    asio::awaitable<std::optional<RequestEvent>> passOnEvents(int tokens, const std::optional<FaultyPart>&);
     asio::awaitable<error_code> readPart(BackendConnection&, std::string& part, Duration bound);
     asio::awaitable<error_code> writeParts(std::string_view data);
     asio::awaitable<error_code> startAnswer(std::uint64_t length);
--- a/src/entry/TokenCounter.cpp
+++ b/src/entry/TokenCounter.cpp
@@ -56,7 +56,7 @@
     boost::system::error_code ec;
     auto value = json::parse(data, ec);
     if (ec || !value.is_object()) {
-        return EventKind::Other;
+        return data.empty() ? EventKind::Other : EventKind::Invalid;
     }
     const auto& chunk = value.get_object();
     bool output = carriesOutput(chunk);
--- a/src/entry/TokenCounter.h
+++ b/src/entry/TokenCounter.h
@@ -16,6 +16,7 @@
         Token, // carries output; model engines send one token in an event
         Other, // role, finish reason, usage, comment
         Done, // "data: [DONE]", the end of the answer
+        Invalid, // data that is neither a JSON object nor the end marker
     };
 
     EventKind observe(std::string_view sseEvent);
--- a/src/http/NumberedEvent.cpp
+++ b/src/http/NumberedEvent.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <optional>
 
-#include <absl/strings/ascii.h>
-
 #include "http/SseReader.h"
 #include "lagoonspoke/core/Text.h"
 
@@ -12,12 +10,6 @@
 
 namespace {
 
-bool isFieldName(std::string_view name)
-{
-    return !name.empty()
-        && std::ranges::all_of(name, [](unsigned char c) { return absl::ascii_isalnum(c) || c == '-' || c == '_'; });
-}
-
 std::optional<std::int64_t> parseId(std::string_view value)
 {
     value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
@@ -42,6 +34,8 @@
         return "id_not_increasing";
     case StreamFault::NoData:
         return "no_data";
+    case StreamFault::InvalidData:
+        return "invalid_data";
     case StreamFault::TooLarge:
         break;
     }
@@ -58,11 +52,11 @@
         if (line.empty() || line.starts_with(':')) {
             continue;
         }
-        auto colon = line.find(':');
-        auto name = line.substr(0, colon);
-        if (!isFieldName(name) || (colon == std::string_view::npos && name != "data")) {
+        if (!detail::isEventLine(line)) {
             return StreamFault::UnknownLine;
         }
+        auto colon = line.find(':');
+        auto name = line.substr(0, colon);
         if (name == "id") {
             if (id) {
                 return StreamFault::SeveralIds;
--- a/src/http/NumberedEvent.h
+++ b/src/http/NumberedEvent.h
@@ -23,6 +23,7 @@
     InvalidId, // not a number from 0 to 2^63 - 1
     IdNotIncreasing,
     NoData,
+    InvalidData, // of a completion: neither a JSON object nor the end marker
     TooLarge,
 };
 
--- a/src/http/SseReader.cpp
+++ b/src/http/SseReader.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <absl/strings/ascii.h>
+
 namespace lagoonspoke {
 
 namespace {
@@ -64,16 +66,24 @@
     m_position = m_scanned = 0;
 }
 
-std::string_view eventIdOf(std::string_view event)
+bool detail::isEventLine(std::string_view line)
 {
-    std::string_view id;
-    while (!event.empty()) {
-        if (auto line = detail::takeLine(event); line.starts_with("id:")) {
-            id = line.substr(3);
-            id.remove_prefix(std::min(id.find_first_not_of(' '), id.size()));
+    auto colon = line.find(':');
+    auto name = line.substr(0, colon);
+    if (colon == std::string_view::npos) {
+        return name == "data";
+    }
+    return std::ranges::all_of(name, [](unsigned char c) { return absl::ascii_isalnum(c) || c == '-' || c == '_'; });
+}
+
+bool hasOnlyEventLines(std::string_view part)
+{
+    while (!part.empty()) {
+        if (auto line = detail::takeLine(part); !line.empty() && !detail::isEventLine(line)) {
+            return false;
         }
     }
-    return id;
+    return true;
 }
 
 std::string dataOf(std::string_view event)
--- a/src/http/SseReader.h
+++ b/src/http/SseReader.h
@@ -11,6 +11,9 @@
 // Removes the first line and gives it without its line break.
 std::string_view takeLine(std::string_view& text);
 
+// Whether the line is a comment or a field with a name; of fields without a value only data is one.
+bool isEventLine(std::string_view line);
+
 } // namespace detail
 
 // Splits a stream of server-sent events into whole events, so that a stream that breaks inside an event can be
@@ -39,8 +42,8 @@
     std::size_t m_scanned = 0;
 };
 
-// The value of the event's last id line; empty when it has none.
-std::string_view eventIdOf(std::string_view event);
+// Whether a part of a stream consists of fields and comments.
+bool hasOnlyEventLines(std::string_view part);
 
 // The text of the event's data lines joined by newlines; empty when it has none.
 std::string dataOf(std::string_view event);
