Take a broken connection for a death only if the server takes no new one

Cause: a connection that broke counted as the death of its server, for a request's fingerprint whenever it broke and for a prompt part when nothing else ran there.

The entry that saw the break now opens a connection to the server, for at most 200 ms. If the server takes it, Disconnected is reported: the server is ejected for a moment as before, but no request or part is suspect for it and its cache is kept. Servers that fail together count once against a fingerprint. A first quarantine lasts 30 s instead of 10 min; one request at a time tests it then, and lifts or renews it, as for prompt parts.

Evidence: 'Connections that workers close do not block later requests of the same path' failed before (20 of 43 assertions, 503 from the second request on) and passes; dispatchTests (94 cases), entryTests (64), platformTests (37), policyTests (7) and crashing-request.scn pass.

Tests changed: a truncated answer of a server that goes on is expected as Disconnected; the once-only test counts the connection that carries no request, and still two requests; the quarantine test expects 30 s, and new cases test the way from there to 60 s and to its end. The step of 1 ms in it keeps a second death apart from the first, as deaths at one moment count once.

--- a/include/lagoonspoke/dispatch/Messages.h
+++ b/include/lagoonspoke/dispatch/Messages.h
@@ -41,10 +41,10 @@
     Completed,
     CallerLeft,
     ServerFailed, // the server responded with an error or timed out
-    ServerDied, // the connection broke while the request ran
+    ServerDied, // the connection broke while the request ran, and the server takes no new one
     Aborted, // stopped by the entry, because of a withdrawn key or the deadline
     Declined, // the server did not run the request, because it is full or leaving
-    Disconnected, // the connection broke before the server can have begun to answer
+    Disconnected, // the connection broke, which does not show that the server died
 };
 
 // What a server's answer says of further requests from the instance that received it.
--- a/src/dispatch/Admission.cpp
+++ b/src/dispatch/Admission.cpp
@@ -126,6 +126,11 @@
         refuseQuarantined(hasFingerprint, now);
     } else if (m_state.quarantine.isSuspect(fingerprint, now)) {
         moveToSuspects(hasFingerprint, true);
+    } else {
+        for (auto& waiting : m_state.suspects) {
+            waiting->needsIsolation &= !hasFingerprint(*waiting);
+        }
+        returnClearedSuspects(now);
     }
 }
 
--- a/src/dispatch/DeadlyPartTest.cpp
+++ b/src/dispatch/DeadlyPartTest.cpp
@@ -221,7 +221,7 @@
         replay.advance(1s);
     }
     REQUIRE(replay.fixture().quarantines == std::vector { deadlyPart });
-    replay.advance(options.shortestPartQuarantine);
+    replay.advance(options.shortestQuarantine);
     replay.placeDeadly();
     REQUIRE(replay.deadlyGranted() == 3);
     replay.advance(1s);
--- a/src/dispatch/DispatchOptions.h
+++ b/src/dispatch/DispatchOptions.h
@@ -38,11 +38,10 @@
     double largestReserve = 0.25;
     // Retries allowed, as a fraction of first attempts.
     double retryBudget = 0.1;
-    // How long a quarantine lasts, and how long a fingerprint stays suspect.
-    Duration quarantineTime = std::chrono::minutes(10);
-    // The first quarantine of a prompt part, which many requests may share. Each further one lasts twice as long, up to
-    // quarantineTime.
-    Duration shortestPartQuarantine = std::chrono::seconds(30);
+    // The first quarantine of a request or a prompt part. Each further one lasts twice as long, up to the longest.
+    Duration shortestQuarantine = std::chrono::seconds(30);
+    // Also how long a request or part stays suspect.
+    Duration longestQuarantine = std::chrono::minutes(10);
     // A peer's floor expires if it is not received again within this time.
     Duration floorLifetime = std::chrono::seconds(3);
     // Mechanisms that ablation measurements switch off one at a time.
--- a/src/dispatch/GrantScheduler.cpp
+++ b/src/dispatch/GrantScheduler.cpp
@@ -56,7 +56,7 @@
 void GrantScheduler::grantSuspects(Tier floor, MonotonicTime now)
 {
     m_state.selector.beginSchedulerRun(fromSeconds(m_state.times.meanSlotSeconds()));
-    findPartsOnTrial(now);
+    findSuspectsOnTrial(now);
     bool waitsForIsolation = false;
     auto& suspects = m_state.suspects;
     for (auto it = suspects.begin(); it != suspects.end();) {
@@ -72,7 +72,7 @@
         }
         auto waiting = std::move(*it);
         it = suspects.erase(it);
-        addSuspectParts(waiting->place, now);
+        addTrial(waiting->place, now);
         grant(std::move(waiting), *server, false, now);
     }
     m_isolatesServers = waitsForIsolation;
@@ -85,6 +85,9 @@
 
 ServerState* GrantScheduler::chooseForSuspect(const WaitingRequest& waiting, bool& waitsForIsolation, MonotonicTime now)
 {
+    if (m_onTrial.contains(waiting.place.fingerprint)) {
+        return nullptr;
+    }
     if (waiting.needsIsolation) {
         auto* server = waitsForIsolation ? nullptr : m_state.selector.chooseIsolated(waiting, now);
         waitsForIsolation = !server;
@@ -93,32 +96,35 @@
         }
         return server;
     }
-    if (std::ranges::any_of(waiting.place.parts, [&](Fingerprint it) { return m_partsOnTrial.contains(it); })) {
+    if (std::ranges::any_of(waiting.place.parts, [&](Fingerprint it) { return m_onTrial.contains(it); })) {
         return nullptr;
     }
     auto* server = m_state.selector.choose(waiting, now);
     if (!server) {
         // The next requests with these parts would not find one either.
-        addSuspectParts(waiting.place, now);
+        addTrial(waiting.place, now);
     }
     return server;
 }
 
-void GrantScheduler::addSuspectParts(const PlaceRequest& place, MonotonicTime now)
+void GrantScheduler::addTrial(const PlaceRequest& place, MonotonicTime now)
 {
     for (auto part : place.parts) {
         if (m_state.partQuarantine.isSuspect(part, now)) {
-            m_partsOnTrial.insert(part);
+            m_onTrial.insert(part);
         }
     }
+    if (m_state.quarantine.isSuspect(place.fingerprint, now)) {
+        m_onTrial.insert(place.fingerprint);
+    }
 }
 
-void GrantScheduler::findPartsOnTrial(MonotonicTime now)
+void GrantScheduler::findSuspectsOnTrial(MonotonicTime now)
 {
-    m_partsOnTrial.clear();
+    m_onTrial.clear();
     for (const auto& [request, granted] : m_state.grants.all()) {
         if (granted.holdsSlot && !granted.isAnswered(now)) {
-            addSuspectParts(granted.place, now);
+            addTrial(granted.place, now);
         }
     }
 }
--- a/src/dispatch/GrantScheduler.h
+++ b/src/dispatch/GrantScheduler.h
@@ -27,8 +27,8 @@
     ServerState* chooseForSuspect(const WaitingRequest&, bool& waitsForIsolation, MonotonicTime now);
     // Collects the suspect parts of granted requests that are not answered yet. One request at a time shows whether a
     // part crashes its server.
-    void findPartsOnTrial(MonotonicTime now);
-    void addSuspectParts(const PlaceRequest&, MonotonicTime now);
+    void findSuspectsOnTrial(MonotonicTime now);
+    void addTrial(const PlaceRequest&, MonotonicTime now);
     bool grantGuaranteed(Tier floor, MonotonicTime now);
     bool grantByTier(Tier floor, MonotonicTime now);
     int reservedSlots(Tier, MonotonicTime now);
@@ -43,7 +43,7 @@
     int m_freeSlots = 0;
     bool m_isolatesServers = false; // servers may be isolated for suspect requests
     // In the current run; includes the parts of suspects that found no server in it.
-    absl::flat_hash_set<Fingerprint> m_partsOnTrial;
+    absl::flat_hash_set<Fingerprint> m_onTrial;
 };
 
 } // namespace lagoonspoke
--- a/src/dispatch/GrantTracker.cpp
+++ b/src/dispatch/GrantTracker.cpp
@@ -133,7 +133,9 @@
     auto* server = m_state.pool.find(granted.server);
     switch (outcome) {
     case FinishOutcome::Completed:
-        m_state.quarantine.recordFinished(granted.place.fingerprint);
+        if (m_state.quarantine.recordFinished(granted.place.fingerprint, now)) {
+            m_admission.applyFingerprintState(granted.place.fingerprint, now);
+        }
         recordPartsAnswered(granted, now);
         if (server) {
             m_state.pool.recordSuccess(*server);
@@ -145,9 +147,13 @@
         }
         break;
     case FinishOutcome::ServerDied:
+        if (server) {
+            recordDeath(granted, *server, now);
+        }
+        break;
     case FinishOutcome::Disconnected:
         if (server) {
-            recordDeath(granted, *server, outcome, now);
+            recordDisconnection(granted, *server, now);
         }
         break;
     case FinishOutcome::Declined:
@@ -161,8 +167,17 @@
     }
 }
 
-void GrantTracker::recordDeath(
-    const GrantedRequest& granted, ServerState& server, FinishOutcome outcome, MonotonicTime now)
+void GrantTracker::recordDisconnection(const GrantedRequest& granted, ServerState& server, MonotonicTime now)
+{
+    // Requests that break together count once. The server may serve others, so its cache is kept.
+    auto lastFailure = std::max(server.diedAt, server.disconnectedAt);
+    if (!lastFailure || granted.grantedAt > *lastFailure) {
+        server.disconnectedAt = now;
+        m_state.pool.recordFailure(server, true, now);
+    }
+}
+
+void GrantTracker::recordDeath(const GrantedRequest& granted, ServerState& server, MonotonicTime now)
 {
     // Each request on the server reports the same death. Only a request granted after the recorded death can report a
     // new one.
@@ -178,20 +193,15 @@
     if (!m_state.options.useQuarantine || server.server.leaving) {
         return;
     }
-    if (outcome == FinishOutcome::ServerDied) {
-        recordPartsOfDead(granted, newDeath, now);
-    }
-    if (granted.place.fingerprint == Fingerprint {}) {
-        return;
-    }
+    recordPartsOfDead(granted, newDeath, now);
     auto fingerprint = granted.place.fingerprint;
-    bool countedAlready = !newDeath && m_state.quarantine.lastDeath(fingerprint) >= *server.diedAt;
-    if (countedAlready) {
+    if (fingerprint == Fingerprint {}) {
         return;
     }
-    if (m_state.quarantine.recordDeath(fingerprint, server.runningAtDeath, now)) {
+    if (m_state.quarantine.recordDeath(fingerprint, server.runningAtDeath, granted.grantedAt, now)) {
         ++m_state.counters.quarantined;
-        m_state.actions.emplace_back(PublishQuarantine { fingerprint, m_state.options.quarantineTime });
+        auto remaining = m_state.quarantine.remainingQuarantine(fingerprint, now);
+        m_state.actions.emplace_back(PublishQuarantine { fingerprint, *remaining });
     }
     m_admission.applyFingerprintState(fingerprint, now);
 }
--- a/src/dispatch/GrantTracker.h
+++ b/src/dispatch/GrantTracker.h
@@ -39,7 +39,8 @@
     void finish(const Progress&, MonotonicTime now);
     void settleCharge(const GrantedRequest&, const Progress&, MonotonicTime now);
     void recordOutcome(const GrantedRequest&, FinishOutcome, MonotonicTime now);
-    void recordDeath(const GrantedRequest&, ServerState&, FinishOutcome, MonotonicTime now);
+    void recordDeath(const GrantedRequest&, ServerState&, MonotonicTime now);
+    void recordDisconnection(const GrantedRequest&, ServerState&, MonotonicTime now);
     void recordPartsOfDead(const GrantedRequest&, bool newDeath, MonotonicTime now);
     void recordPartsAnswered(const GrantedRequest&, MonotonicTime now);
     void publishPartQuarantine(Fingerprint part, MonotonicTime now);
--- a/src/dispatch/ServerState.h
+++ b/src/dispatch/ServerState.h
@@ -66,6 +66,7 @@
     double promisedWork = 0; // prompt work of requests that wait for this server in the current scheduler run
     std::multiset<MonotonicTime> awaitingFirstByte; // grant times of requests without a first byte
     std::optional<MonotonicTime> diedAt; // grants made up to then ended with the server's death
+    std::optional<MonotonicTime> disconnectedAt; // the last connection that broke by itself and ejected the server
     int runningAtDeath = 0; // other requests in flight when the first one reported the death
     MonotonicTime lastSlowTrial {};
 
--- a/src/entry/CallerServiceFixture.h
+++ b/src/entry/CallerServiceFixture.h
@@ -47,6 +47,8 @@
 struct Close { };
 // Closes the connection so that the other side sees a reset, after it had time to read what was sent.
 struct Reset { };
+// Takes no connection any more, then closes this one.
+struct Crash { };
 // Waits until the other side closes.
 struct Hold { };
 struct Work {
@@ -58,7 +60,7 @@
     Duration pause {}; // between two texts
 };
 constexpr std::size_t mostFlooded = 64 << 20;
-using Step = std::variant<Send, Close, Reset, Hold, Work, Flood>;
+using Step = std::variant<Send, Close, Reset, Crash, Hold, Work, Flood>;
 
 // Answers the n-th request that it receives with the n-th script; without a script it closes the connection.
 class ScriptedBackend {
@@ -124,6 +126,9 @@
                 co_await asio::async_write(socket, asio::buffer(send->text), useTuple);
             } else if (std::holds_alternative<Close>(step)) {
                 co_return false;
+            } else if (std::holds_alternative<Crash>(step)) {
+                m_acceptor.close();
+                co_return false;
             } else if (std::holds_alternative<Reset>(step)) {
                 asio::steady_timer timer(m_acceptor.get_executor(), std::chrono::milliseconds(10));
                 co_await timer.async_wait(useTuple);
--- a/src/entry/RequestConclusion.cpp
+++ b/src/entry/RequestConclusion.cpp
@@ -68,7 +68,7 @@
     }
     auto progress = makeProgress();
     progress.finished = true;
-    progress.outcome = outcome == FinishOutcome::ServerDied && !mayHaveBegun() ? FinishOutcome::Disconnected : outcome;
+    progress.outcome = outcome;
     progress.promptTokens = m_relay.tokens().prompt().value_or(m_request.promptTokens);
     m_services.placement.report(progress);
     m_grant.reset();
--- a/src/entry/RequestMachine.cpp
+++ b/src/entry/RequestMachine.cpp
@@ -137,7 +137,7 @@
     {
         bool repeats = m_state != RequestState::Connect && !unwritten(event) && !isRevocation(event.cause);
         noteWritten(event);
-        leaveServer(event.cause);
+        leaveServer(event);
         if (repeats) {
             ++m_sentFailures;
             m_budget->take();
@@ -177,7 +177,7 @@
     void fail(const AttemptFailed& event)
     {
         noteWritten(event);
-        leaveServer(event.cause);
+        leaveServer(event);
         end(errorOf(event.cause));
     }
     void stop(const Stopped& event)
@@ -245,13 +245,14 @@
             m_written = m_wasWritten;
         }
     }
-    void leaveServer(AttemptFailure cause)
+    void leaveServer(const AttemptFailed& event)
     {
+        auto cause = event.cause;
         auto outcome = FinishOutcome::ServerFailed;
         if (isRevocation(cause)) {
             outcome = FinishOutcome::Aborted;
         } else if (m_sentOnGrant && (cause == AttemptFailure::Broken || cause == AttemptFailure::Unreachable)) {
-            outcome = FinishOutcome::ServerDied;
+            outcome = event.serverAccepts ? FinishOutcome::Disconnected : FinishOutcome::ServerDied;
         }
         act(ReleaseGrant { outcome });
         if (cause != AttemptFailure::Preempted) {
@@ -350,6 +351,11 @@
     return m_impl->m_state >= RequestState::Connect && m_impl->m_state <= RequestState::Stream && m_impl->canMove();
 }
 
+bool RequestMachine::suggestsDeath(const AttemptFailed& event) const
+{
+    return event.cause == AttemptFailure::Broken && m_impl->m_sentOnGrant && !m_impl->isStale(event);
+}
+
 RunStatus RequestMachine::runStatus() const
 {
     return m_impl->runStatus();
--- a/src/entry/RequestMachine.h
+++ b/src/entry/RequestMachine.h
@@ -72,6 +72,8 @@
     AttemptFailure cause;
     // Whether any byte of the request was written in this attempt; counts in the state Send only.
     bool bytesWritten = true;
+    // Whether the server took a new connection after this one broke, so that its process has not died.
+    bool serverAccepts = false;
 };
 // Ends the request: refused, withdrawn key, deadline, caller left or stalled.
 struct Stopped {
@@ -135,6 +137,8 @@
     RequestState state() const;
     // Whether a running attempt could stop now and continue elsewhere. A revoked grant is obeyed only then.
     bool canMove() const;
+    // Whether the failure would be reported as the server's death unless it still accepts connections.
+    bool suggestsDeath(const AttemptFailed&) const;
     // What is true if the request ended now without an answer.
     RunStatus runStatus() const;
     bool callerReached() const;
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// Delays the next attempt where the server's machine is silent.
+constexpr Duration mostDeathCheck = std::chrono::milliseconds(200);
+
 CallerHead copyHead(const HttpExchange& exchange)
 {
     const auto& request = exchange.request();
@@ -61,6 +64,9 @@
         if (!event) {
             break;
         }
+        if (auto* failed = std::get_if<AttemptFailed>(&*event); failed && m_machine.suggestsDeath(*failed)) {
+            failed->serverAccepts = co_await acceptsConnections();
+        }
         auto chosen = chooseEvent(std::move(*event));
         if (const auto* failed = std::get_if<AttemptFailed>(&chosen)) {
             logFailedAttempt(*failed);
@@ -79,12 +85,20 @@
         .add("attempt", m_machine.attempts())
         .add("server", m_server.value())
         .add("cause", toString(failed.cause))
+        .add("server_accepts", failed.serverAccepts)
         .add("may_have_run", m_machine.runStatus() != RunStatus::NotRun)
         .add("answer_began", m_machine.callerReached())
         .add("attempt_ms", toMilliseconds(readMonotonicClock() - m_attemptStart))
         .add("remaining_ms", toMilliseconds(remaining()));
 }
 
+asio::awaitable<bool> RequestRunner::acceptsConnections() const
+{
+    BackendConnection connection(m_exchange.socket().get_executor(), m_grant->address);
+    auto ec = co_await connection.connect(std::min(mostDeathCheck, m_services.settings.connectTimeout));
+    co_return !ec;
+}
+
 RequestRunner::Next RequestRunner::perform(RequestAction action)
 {
     auto nothing = []() -> Next { co_return std::nullopt; };
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -84,6 +84,8 @@
     asio::awaitable<void> respondModels();
     void releaseGrant(FinishOutcome);
     void logFailedAttempt(const AttemptFailed&) const;
+    // Whether the granted server takes a new connection, as a process that has died does not.
+    asio::awaitable<bool> acceptsConnections() const;
     RequestEvent chooseEvent(RequestEvent);
     void interrupt(RequestEvent);
     void startDeadline();
