Do not pass on a promise that a worker did not give

The answer's status was read for servers only, not for what it means to a caller. On routes whose requests may not be repeated such an answer is now a protocol error, 502. Where requests may be repeated it passes unchanged.

--- a/src/entry/CallerDialect.h
+++ b/src/entry/CallerDialect.h
@@ -23,6 +23,8 @@
     Execution execution = Execution::Ran;
     // Whether it may be passed on as the answer to the request with that id.
     bool usable = true;
+    // Whether callers would take it for a promise that the request has not run, which the server did not give.
+    bool seemsNotRun = false;
     // The requests that the server takes from all instances together; empty when it names none, or no valid rate.
     std::optional<RequestRate> limit;
     bool hasInvalidLimit = false;
--- a/src/entry/RequestAnswer.cpp
+++ b/src/entry/RequestAnswer.cpp
@@ -8,7 +8,7 @@
 
 bool RequestRunner::isExpectedAnswer(const BackendAnswer& answer) const
 {
-    if (!answer.usable || answer.requestId != backendId()) {
+    if (!answer.usable || answer.requestId != backendId() || (answer.seemsNotRun && !m_request.idempotent)) {
         return false;
     }
     // Once a stream has started, nothing but its continuation fits.
