--- a/src/entry/AnswerRelay.cpp
+++ b/src/entry/AnswerRelay.cpp
@@ -51,7 +51,8 @@
 void AnswerRelay::readHead(const BackendConnection& connection)
 {
     const auto& head = connection.head();
-    m_status = head.result();
+    // The library's names do not cover all statuses.
+    m_status = static_cast<http::status>(head.result_int());
     auto contentType = head[http::field::content_type];
     m_contentType.assign(contentType.data(), contentType.size());
 }
