--- a/src/entry/AnswerRelay.cpp
+++ b/src/entry/AnswerRelay.cpp
@@ -74,6 +74,7 @@
     m_events.reset();
     m_numberedEvents.startAttempt();
     m_sawToken = false;
+    m_mostPause = m_settings.tokenGapTimeout;
     auto length = connection.contentLength();
     m_bodyless = m_exchange.isHead() || m_status == http::status::no_content || m_status == http::status::not_modified;
     if (m_bodyless) {
@@ -88,6 +89,7 @@
     }
     if (request.kind == RouteKind::EventStream && m_status == http::status::ok && isEventStream(m_contentType)) {
         m_mode = Mode::NumberedEvents;
+        m_mostPause = std::max(m_mostPause, request.classSpec->callerPatience);
         co_return co_await relayEvents(connection);
     }
     bool unframed = connection.framing() == AnswerFraming::ConnectionEnd;
@@ -221,7 +223,7 @@
     m_lastEventAt = readMonotonicClock();
     while (true) {
         // A part of an event does not extend the time for the whole one.
-        auto bound = m_settings.tokenGapTimeout - (readMonotonicClock() - m_lastEventAt);
+        auto bound = m_mostPause - (readMonotonicClock() - m_lastEventAt);
         if (bound <= Duration(0)) {
             co_return AttemptFailed { AttemptFailure::TimedOut };
         }
--- a/src/entry/AnswerRelay.h
+++ b/src/entry/AnswerRelay.h
@@ -94,6 +94,7 @@
     std::uint64_t m_eventCount = 0; // whole events of all attempts
     NumberedEventReader m_numberedEvents;
     MonotonicTime m_lastEventAt {}; // in the current attempt, or its start
+    Duration m_mostPause {}; // between two events of the current attempt
     Mode m_mode = Mode::Whole;
     http::status m_status = http::status::ok;
     std::string m_contentType;
