--- a/src/http/NumberedEventReaderTest.cpp
+++ b/src/http/NumberedEventReaderTest.cpp
@@ -56,7 +56,7 @@
         { one + event(4), one + event(4), {} },
         { one + two + "data: x\n\n" + three, one + two, StreamFault::NoId },
         { "data: x\n\n" + one, "", StreamFault::NoId },
-        { one + "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\n" + two, one, StreamFault::UnknownLine },
+        { one + "HTTP/1.1 200 OK\r\nx-id: a\r\n\r\n" + two, one, StreamFault::UnknownLine },
         { one + "id: 2\ndata: a\nid: 7\ndata: b\n\n" + three, one, StreamFault::SeveralIds },
         { one + "id: x\ndata: a\n\n" + two, one, StreamFault::InvalidId },
         { one + two + one + three, one + two, StreamFault::IdNotIncreasing },
@@ -104,7 +104,7 @@
 TEST_CASE("Mutated numbered streams give whole events in order, or a fault")
 {
     std::mt19937_64 random(41);
-    const std::string stream = event(1) + "weight-versions: 2\r\nid: 2\r\ndata: a\r\n\r\n: ping\n\n" + event(3)
+    const std::string stream = event(1) + "x-version: 2\r\nid: 2\r\ndata: a\r\n\r\n: ping\n\n" + event(3)
         + "HTTP/1.1 200 OK\r\n\r\n" + event(4);
     for (int i = 0; i < 20000; ++i) {
         auto bytes = stream;
--- a/src/http/NumberedEventTest.cpp
+++ b/src/http/NumberedEventTest.cpp
@@ -25,7 +25,7 @@
 {
     CHECK(describe("id: 7\ndata: a\n\n") == "7");
     CHECK(describe("id:0\r\nevent: x\r\ndata\r\n\r\n") == "0");
-    CHECK(describe("\nweight-versions: 3\nid: 8\ndata: a\n: note\ndata: b\n\n") == "8");
+    CHECK(describe("\nx-version: 3\nid: 8\ndata: a\n: note\ndata: b\n\n") == "8");
     CHECK(describe(": ping\n\n") == "comment");
     CHECK(describe("retry: 100\n\n") == "comment");
     CHECK(describe("\n\n") == "comment");
@@ -41,7 +41,7 @@
     CHECK(describe("id: 1234567890123456789012\ndata: a\n\n") == "invalid_id");
     CHECK(describe("id: 2\ndata: a\nid: 7\ndata: b\n\n") == "several_ids");
     CHECK(describe("id: 7\n\n") == "no_data");
-    CHECK(describe("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\n") == "unknown_line");
+    CHECK(describe("HTTP/1.1 200 OK\r\nx-id: a\r\n\r\n") == "unknown_line");
     CHECK(describe("\xff\xfeid: 7\ndata: a\n\n") == "unknown_line");
     CHECK(describe("hello\nid: 7\ndata: a\n\n") == "unknown_line");
     CHECK(describe("id\ndata: a\n\n") == "unknown_line");
