Check whether a server has died only after failures that are its own

The interruption is taken up first now, and the check follows for what is still a broken connection.

--- a/src/entry/ClosedConnectionTest.cpp
+++ b/src/entry/ClosedConnectionTest.cpp
@@ -40,4 +40,21 @@
     CHECK(outcomeOf(20ms, Crash {}) == FinishOutcome::ServerDied);
 }
 
+// Guards against a check of a server whose connection the router itself broke off: it costs the server a connection.
+TEST_CASE("a caller that leaves causes no new connection to the server")
+{
+    Fixture f;
+    f.first.add({ Hold {} });
+    f.run([&]() -> asio::awaitable<void> {
+        RawCaller caller(f.io);
+        co_await caller.connect(f.server->endpoint());
+        co_await caller.send(std::string(request));
+        co_await f.until([&] { return f.first.requests.size() == 1; });
+        caller.close();
+        co_await f.until([&] { return f.finished.size() == 1; });
+    });
+    CHECK(f.finished[0].outcome == FinishOutcome::CallerLeft);
+    CHECK(f.first.connections == 1);
+}
+
 } // namespace lagoonspoke::testing
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -64,11 +64,11 @@
         if (!event) {
             break;
         }
-        if (auto* failed = std::get_if<AttemptFailed>(&*event); failed && m_machine.suggestsDeath(*failed)) {
-            failed->serverAccepts = co_await acceptsConnections();
-        }
         auto chosen = chooseEvent(std::move(*event));
-        if (const auto* failed = std::get_if<AttemptFailed>(&chosen)) {
+        if (auto* failed = std::get_if<AttemptFailed>(&chosen)) {
+            if (m_machine.suggestsDeath(*failed)) {
+                failed->serverAccepts = co_await acceptsConnections();
+            }
             logFailedAttempt(*failed);
         }
         actions = m_machine.handle(chosen);
