--- a/src/entry/AnswerRelay.cpp
+++ b/src/entry/AnswerRelay.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <fmt/format.h>
 
 #include "lagoonspoke/core/Overload.h"
@@ -18,7 +18,7 @@
 
 bool isEventStream(std::string_view contentType)
 {
-    return contentType.starts_with("text/event-stream");
+    return absl::StartsWithIgnoreCase(std::string(contentType), "text/event-stream");
 }
 
 RequestEvent callerLost(error_code ec)
@@ -92,6 +92,9 @@
         m_mostPause = std::max(m_mostPause, request.classSpec->callerPatience);
         co_return co_await relayEvents(connection);
     }
+    if (request.kind == RouteKind::EventStream && http::to_status_class(m_status) == http::status_class::successful) {
+        co_return AttemptFailed { AttemptFailure::Protocol };
+    }
     bool unframed = connection.framing() == AnswerFraming::ConnectionEnd;
     if (unframed && !m_settings.acceptsUnframedAnswers) {
         // The end of such an answer cannot be told from a broken connection.
@@ -235,12 +238,12 @@
             bool numbered = m_mode == Mode::NumberedEvents;
             co_return endOfEvents(connection, numbered ? m_numberedEvents.hasEvents() : m_eventCount > eventsBefore);
         }
-        auto before = partCount();
+        auto before = eventCount();
         auto relayed = m_mode == Mode::NumberedEvents ? relayNumberedPart(part) : relayPart(part);
         if (auto event = co_await std::move(relayed)) {
             co_return *event;
         }
-        if (partCount() > before) {
+        if (eventCount() > before) {
             m_lastEventAt = readMonotonicClock();
         }
     }
@@ -259,9 +262,9 @@
     return numbered && !partial ? RequestEvent(AnswerCompleted {}) : AttemptFailed { AttemptFailure::Protocol };
 }
 
-std::uint64_t AnswerRelay::partCount() const
+std::uint64_t AnswerRelay::eventCount() const
 {
-    return m_mode == Mode::NumberedEvents ? m_numberedEvents.partCount() : m_eventCount;
+    return m_mode == Mode::NumberedEvents ? m_numberedEvents.eventCount() : m_eventCount;
 }
 
 asio::awaitable<std::optional<RequestEvent>> AnswerRelay::relayPart(std::string_view part)
@@ -271,12 +274,16 @@
     int tokens = 0;
     bool done = false;
     std::optional<FaultyPart> faulty;
-    while (auto event = done || faulty ? std::nullopt : m_events.next()) {
+    while (auto event = done ? std::nullopt : m_events.next()) {
         ++m_eventCount;
+        if (!hasOnlyEventLines(*event)) {
+            faulty = FaultyPart { StreamFault::UnknownLine, *event };
+            break;
+        }
         auto kind = m_tokens.observe(*event);
-        if (bool known = hasOnlyEventLines(*event); !known || kind == TokenCounter::EventKind::Invalid) {
-            faulty = FaultyPart { known ? StreamFault::InvalidData : StreamFault::UnknownLine, *event };
-            continue;
+        if (kind == TokenCounter::EventKind::Invalid) {
+            faulty = FaultyPart { StreamFault::InvalidData, *event };
+            break;
         }
         tokens += kind == TokenCounter::EventKind::Token;
         m_sawToken = m_sawToken || kind == TokenCounter::EventKind::Token;
--- a/src/entry/AnswerRelay.h
+++ b/src/entry/AnswerRelay.h
@@ -73,8 +73,8 @@
     asio::awaitable<RequestEvent> relayEvents(BackendConnection&);
     // What the end of a stream means; hasEvents tells whether this attempt brought any.
     RequestEvent endOfEvents(const BackendConnection&, bool hasEvents) const;
-    // Whole events of all attempts, and what else the stream is made of.
-    std::uint64_t partCount() const;
+    // Whole events of all attempts, with repeated ones.
+    std::uint64_t eventCount() const;
     // Move the whole events of a part to the caller; nothing while the stream goes on.
     asio::awaitable<std::optional<RequestEvent>> relayPart(std::string_view part);
     asio::awaitable<std::optional<RequestEvent>> relayNumberedPart(std::string_view part);
--- a/src/entry/FaultyStreamTest.cpp
+++ b/src/entry/FaultyStreamTest.cpp
@@ -7,7 +7,7 @@
 TEST_CASE("a completion's stream continues on another engine after bytes that are no event")
 {
     auto bytes = GENERATE(as<std::string> {}, "data: no JSON\n\n", "data: 17\n\n", "HTTP/1.1 200 OK\r\nx: y\r\n\r\n",
-        "\x01\x02\n\n", "hello\ndata: {}\n\n");
+        "\x01\x02\n\n", "hello\ndata: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\n");
     CAPTURE(bytes);
     Fixture f;
     f.first.add({ Send { std::string(streamHead) }, Send { token("a") + chunk(bytes) + token("b") }, Hold {} });
@@ -21,7 +21,8 @@
         CHECK_FALSE(contains(response, "\"b\""));
         CHECK(endsComplete(response));
     });
-    CHECK(f.second.requests.size() == 1);
+    REQUIRE(f.second.requests.size() == 1);
+    CHECK(contains(f.second.requests[0], "x-resume-after: 1\r\n"));
     REQUIRE(f.finished.size() == 2);
     CHECK(f.finished[0].outcome == FinishOutcome::ServerFailed);
 }
--- a/src/http/NumberedEvent.cpp
+++ b/src/http/NumberedEvent.cpp
@@ -49,12 +49,15 @@
     bool hasOther = false;
     for (auto rest = part; !rest.empty();) {
         auto line = detail::takeLine(rest);
-        if (line.empty() || line.starts_with(':')) {
+        if (line.empty()) {
             continue;
         }
         if (!detail::isEventLine(line)) {
             return StreamFault::UnknownLine;
         }
+        if (line.starts_with(':')) {
+            continue;
+        }
         auto colon = line.find(':');
         auto name = line.substr(0, colon);
         if (name == "id") {
--- a/src/http/NumberedEventReader.cpp
+++ b/src/http/NumberedEventReader.cpp
@@ -15,7 +15,6 @@
 std::optional<NumberedEventReader::Item> NumberedEventReader::next()
 {
     while (auto text = m_parts.next()) {
-        ++m_partCount;
         if (auto item = read(*text)) {
             return item;
         }
@@ -38,6 +37,7 @@
                               if (previous && event.id <= *previous) {
                                   return FaultyPart { StreamFault::IdNotIncreasing, text };
                               }
+                              ++m_eventCount;
                               if (m_lastId && event.id <= *m_lastId) {
                                   return std::nullopt;
                               }
--- a/src/http/NumberedEventReader.h
+++ b/src/http/NumberedEventReader.h
@@ -33,8 +33,8 @@
     // Whether the attempt brought an event, given before or not.
     bool hasEvents() const { return m_attemptId.has_value(); }
     bool hasPartialEvent() const { return m_parts.hasPartialEvent(); }
-    // Whole parts of all attempts, with comments and repeated events.
-    std::uint64_t partCount() const { return m_partCount; }
+    // Events of all attempts, with repeated ones.
+    std::uint64_t eventCount() const { return m_eventCount; }
 
 private:
     std::optional<Item> read(std::string_view text);
@@ -42,7 +42,7 @@
     SseReader m_parts;
     std::optional<std::int64_t> m_lastId;
     std::optional<std::int64_t> m_attemptId; // of the attempt's last event
-    std::uint64_t m_partCount = 0;
+    std::uint64_t m_eventCount = 0;
 };
 
 } // namespace lagoonspoke
--- a/src/http/NumberedEventReaderTest.cpp
+++ b/src/http/NumberedEventReaderTest.cpp
@@ -82,10 +82,12 @@
     CHECK(reader.lastId() == 2);
     auto second = readAttempt(reader, event(1) + event(2) + event(3) + "id: x\ndata: a\n\n", 7);
     CHECK(second.events == event(3));
+    CHECK(reader.eventCount() == 5);
     CHECK(second.fault == StreamFault::InvalidId);
     CHECK(reader.lastId() == 3);
     // Nothing is left to send.
-    CHECK(readAttempt(reader, "", 7).events.empty());
+    CHECK(readAttempt(reader, ": ping\n\n", 7).events.empty());
+    CHECK(reader.eventCount() == 5);
     CHECK_FALSE(reader.hasEvents());
     CHECK(readAttempt(reader, event(4), 7).events == event(4));
 }
--- a/src/http/NumberedEventTest.cpp
+++ b/src/http/NumberedEventTest.cpp
@@ -44,6 +44,8 @@
     CHECK(describe("HTTP/1.1 200 OK\r\nx-id: a\r\n\r\n") == "unknown_line");
     CHECK(describe("\xff\xfeid: 7\ndata: a\n\n") == "unknown_line");
     CHECK(describe("hello\nid: 7\ndata: a\n\n") == "unknown_line");
+    CHECK(describe("id: 7\ndata: a\r\rdata: b\n\n") == "unknown_line");
+    CHECK(describe(": ping\rid: 7\n\n") == "unknown_line");
     CHECK(describe("id\ndata: a\n\n") == "unknown_line");
 }
 
--- a/src/http/SseReader.cpp
+++ b/src/http/SseReader.cpp
@@ -68,6 +68,10 @@
 
 bool detail::isEventLine(std::string_view line)
 {
+    // Other readers take a carriage return by itself for the end of a line.
+    if (line.find('\r') != std::string_view::npos) {
+        return false;
+    }
     auto colon = line.find(':');
     auto name = line.substr(0, colon);
     if (colon == std::string_view::npos) {
