Keep the id to resume from alive while the request's head is written

Found by the address sanitizer in platformTests (stack-use-after-scope, RouteDialect.cpp:222); neither the plain tests nor the review saw it. platformTests pass under that sanitizer now (41 cases).

--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -375,13 +375,14 @@
 
 RequestRunner::Next RequestRunner::sendRequest()
 {
+    auto lastEventId = m_relay.lastEventId();
     BackendHead head { m_grant->address, backendId(), m_request.tier, {} };
     head.bodyBytes = m_body.size();
     head.remaining = remaining();
     head.server = m_grant->server.value();
     if (m_machine.callerReached()) {
         head.resumeAfter = m_relay.tokens().output();
-        head.lastEventId = m_relay.lastEventId();
+        head.lastEventId = lastEventId;
     }
     auto text = m_services.dialect.formatBackendHead(m_request, head);
     std::size_t written = 0;
