--- a/src/entry/RequestConclusion.cpp
+++ b/src/entry/RequestConclusion.cpp
@@ -80,6 +80,21 @@
     }
 }
 
+void RequestRunner::logFailedAttempt(const AttemptFailed& failed) const
+{
+    LogLine(LogLevel::Warning, "attempt_failed")
+        .add("request", m_id.value())
+        .add("caller_id", m_request.callerId)
+        .add("attempt", m_machine.attempts())
+        .add("server", m_server.value())
+        .add("cause", toString(failed.cause))
+        .add("server_accepts", failed.serverAccepts)
+        .add("may_have_run", m_machine.runStatus() != RunStatus::NotRun)
+        .add("answer_began", m_machine.callerReached())
+        .add("attempt_ms", toMilliseconds(readMonotonicClock() - m_attemptStart))
+        .add("remaining_ms", toMilliseconds(remaining()));
+}
+
 bool RequestRunner::mayHaveBegun() const
 {
     return m_firstByteReported || readMonotonicClock() - m_sent >= shortestRun;
