Log when a request was granted and sent, and what an instance knows of servers

Nothing told when a request was sent relative to its grant, whether a grant was used twice, when a server vanished from an instance's list and whether one that was taken for gone was used again, so that logs could not tell the three hypotheses apart. request_finished and attempt_failed now carry granted_ms, sent_ms and sends; the lines on servers carry the list's revision, and there are lines for servers that are added, removed or used again.

--- a/src/daemon/ControlLoop.cpp
+++ b/src/daemon/ControlLoop.cpp
@@ -101,14 +101,7 @@
 
 void ControlLoop::applyServers(std::vector<BackendServer> servers)
 {
-    for (const auto& server : servers) {
-        if (server.leaving && m_leaving.insert(server.id).second) {
-            LogLine(LogLevel::Info, "backend_server_leaving").add("server", server.id.value());
-        }
-    }
-    std::erase_if(m_leaving, [&](const BackendServerId& id) {
-        return std::ranges::none_of(servers, [&](const auto& it) { return it.id == id && it.leaving; });
-    });
+    logServerChanges(servers);
     m_servers = std::move(servers);
     std::vector<BackendServer> ownRegion;
     for (const auto& server : m_servers) {
--- a/src/daemon/ControlLoop.h
+++ b/src/daemon/ControlLoop.h
@@ -3,7 +3,6 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <set>
 
 #include "daemon/PeerService.h"
 #include "dispatch/Dispatcher.h"
@@ -53,6 +52,8 @@
     void execute(const DomainId&, std::vector<DispatchAction>);
     void logRefusal(const DomainId&, const SendToEntry&, MonotonicTime now) const;
     static void logRequestLimit(const DomainId&, const RequestLimitChanged&);
+    // Logs which servers were added or removed, leave, or are used again although they were known to leave.
+    void logServerChanges(const std::vector<BackendServer>& servers) const;
     static void logQuarantine(const DomainId&, const PublishQuarantine&);
     void publishFloor(const DomainId&, Tier);
     // Hands the event that makeEvent gives for the domain to every dispatcher.
@@ -70,7 +71,6 @@
     PlacementRouter m_router;
     SnapshotPtr m_snapshot;
     std::vector<BackendServer> m_servers;
-    std::set<BackendServerId> m_leaving; // already logged
     std::map<DataCentreId, RegionId> m_regions;
     std::map<DomainId, Dispatcher> m_dispatchers;
     std::map<DomainId, PublishedFloor> m_floors;
--- a/src/daemon/ControlLoopLog.cpp
+++ b/src/daemon/ControlLoopLog.cpp
@@ -47,6 +47,34 @@
         .add("configuration", m_snapshot ? m_snapshot->number() : 0);
 }
 
+void ControlLoop::logServerChanges(const std::vector<BackendServer>& servers) const
+{
+    auto log = [&](std::string_view event, const BackendServer& server) {
+        LogLine(LogLevel::Info, event)
+            .add("server", server.id.value())
+            .add("target", server.target.value())
+            .add("revision", m_peers.serversRevision());
+    };
+    std::map<BackendServerId, const BackendServer*> removed;
+    for (const auto& server : m_servers) {
+        removed.emplace(server.id, &server);
+    }
+    for (const auto& server : servers) {
+        auto before = removed.extract(server.id);
+        bool wasLeaving = before && before.mapped()->leaving;
+        if (server.leaving && !wasLeaving) {
+            log("backend_server_leaving", server);
+        } else if (!server.leaving && wasLeaving) {
+            log("backend_server_returned", server);
+        } else if (!before && !m_servers.empty()) {
+            log("backend_server_added", server);
+        }
+    }
+    for (const auto& [id, server] : removed) {
+        log("backend_server_removed", *server);
+    }
+}
+
 void ControlLoop::logRequestLimit(const DomainId& domain, const RequestLimitChanged& change)
 {
     LogLine(LogLevel::Info, "request_limit_changed")
--- a/src/daemon/PeerService.cpp
+++ b/src/daemon/PeerService.cpp
@@ -83,6 +83,11 @@
     return m_state->serversRead;
 }
 
+std::uint64_t PeerService::serversRevision() const
+{
+    return m_state->source ? m_state->source->serversRevision() : 0;
+}
+
 const std::vector<Member>& PeerService::members() const
 {
     return m_state->heard;
--- a/src/daemon/PeerService.h
+++ b/src/daemon/PeerService.h
@@ -44,6 +44,8 @@
     std::string address() const; // IP:port as bound
     // Whether the backend servers were read at least once.
     bool knowsServers() const;
+    // The revision of the store's list of backend servers that is known here; 0 where lists have none.
+    std::uint64_t serversRevision() const;
     // Every member that was heard of, this instance included. An instance that is only listed may be gone for long.
     const std::vector<Member>& members() const;
     // Whether this instance reads what operators and backend servers write to the store, or lives by what peers tell.
--- a/src/entry/RequestConclusion.cpp
+++ b/src/entry/RequestConclusion.cpp
@@ -92,6 +92,9 @@
         .add("may_have_run", m_machine.runStatus() != RunStatus::NotRun)
         .add("answer_began", m_machine.callerReached())
         .add("attempt_ms", toMilliseconds(readMonotonicClock() - m_attemptStart))
+        .add("granted_ms", sinceArrival(m_grantedAt))
+        .add("sent_ms", sinceArrival(m_sent))
+        .add("sends", m_sendsOnGrant)
         .add("remaining_ms", toMilliseconds(remaining()));
 }
 
@@ -178,6 +181,11 @@
     co_return std::nullopt;
 }
 
+double RequestRunner::sinceArrival(MonotonicTime time) const
+{
+    return time < m_arrival ? -1 : toMilliseconds(time - m_arrival);
+}
+
 void RequestRunner::conclude()
 {
     m_concluding = true;
@@ -212,6 +220,9 @@
         .add("attempts", m_machine.attempts())
         .add("retry_after_ms", toMilliseconds(m_retryAfter))
         .add("queue_ms", toMilliseconds(m_queueTime))
+        .add("granted_ms", sinceArrival(m_grantedAt))
+        .add("sent_ms", sinceArrival(m_sent))
+        .add("sends", m_sendsOnGrant)
         .add("first_token_ms", m_firstToken ? toMilliseconds(*m_firstToken) : 0)
         .add("total_ms", toMilliseconds(total))
         .add("tokens", output.count);
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -333,6 +333,8 @@
         co_return PlacementRefused { refusal->code, refusal->retryAfter };
     }
     m_grant = std::get<Grant>(result);
+    m_grantedAt = readMonotonicClock();
+    m_sendsOnGrant = 0;
     m_server = m_grant->server;
     co_return Granted { m_server };
 }
@@ -379,6 +381,7 @@
     }
     m_firstByteReported = false;
     m_sent = readMonotonicClock();
+    ++m_sendsOnGrant;
     m_services.placement.report(makeProgress());
     co_return RequestSent {};
 }
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -109,6 +109,8 @@
     UsageRecord makeUsage(bool completed) const;
     asio::awaitable<void> recordUsage();
     void conclude();
+    // Milliseconds; -1 for what did not happen.
+    double sinceArrival(MonotonicTime) const;
 
     EntryServices& m_services;
     HttpExchange& m_exchange;
@@ -133,8 +135,10 @@
 
     // What the log and the metrics tell.
     MonotonicTime m_arrival;
+    MonotonicTime m_grantedAt;
     MonotonicTime m_attemptStart;
     MonotonicTime m_sent; // the whole request, in this attempt
+    int m_sendsOnGrant = 0;
     MonotonicTime m_lastToken;
     MonotonicTime m_lastReport;
     Duration m_queueTime {};
