End grants for a server as soon as the entry knows that it leaves

Callers' requests were sent to a worker after its leaving was known: a request whose kept connection closed without an answer was sent again on its old grant, to the same worker, however long after the grant. Also a request that was placed locally, or whose grant came from a dispatcher that did not know yet, went out after the news. A server was only asked about when a grant arrived.

Now PlacementRouter ends every held grant, whoever gave it, when the list, a rumour or an answer says that its server leaves. What waits for a connection or is being written moves to another server; what was sent goes on, as the server serves it, but is not sent there again: if its connection closes it is an ordinary retry, counted by the budget and by maxAttempts, and no evidence of a death. Before, only a dispatcher's own revocation ended a grant, and one that crossed the start of a run interrupted that run.

--- a/src/dispatch/PlacementRouter.cpp
+++ b/src/dispatch/PlacementRouter.cpp
@@ -53,7 +53,10 @@
                        }
                    },
                    [&](const MembersUpdated& it) { handleMembersUpdated(it.members, now); },
-                   [&](const ServersChanged& it) { m_fallback.setServers(it.servers); },
+                   [&](const ServersChanged& it) {
+                       m_fallback.setServers(it.servers);
+                       revokeOnLeavingServers();
+                   },
                    [&](const PeerLost& it) { handlePeerLost(it.peer, now); },
                    [&](const DomainFloorReceived& it) {
                        m_fallback.receiveFloor(it.domain, it.floor.from, it.floor.floor, now);
@@ -134,6 +137,7 @@
                 if (it != m_requests.end() && it->second.held && it->second.held->grant == progress.grant) {
                     if (progress.signal) {
                         m_signals.record(it->second.held->server, *progress.signal, now);
+                        revokeOnLeavingServers();
                     }
                     it->second.held->outputTokens = progress.outputTokens;
                     recordLimit(it->second, progress, now);
--- a/src/dispatch/PlacementRouter.h
+++ b/src/dispatch/PlacementRouter.h
@@ -116,6 +116,7 @@
         bool placedLocally = false;
         MonotonicTime grantedAt;
         MonotonicTime timerDue; // the key in m_timers
+        bool revoked = false; // the thread was told that nothing may be sent on the grant any more
     };
     // The backend server that last processed a chain of shared prompt parts.
     struct RememberedPart {
@@ -171,6 +172,9 @@
     // requests another one.
     void declineGrant(Request&, const Grant&, const InstanceId& from, MonotonicTime now);
     void recordGrant(Request&, const Grant&, const InstanceId& from, MonotonicTime now);
+    // Ends the grants for servers that this instance knows to leave, by whichever instance they were given: their
+    // requests may not have been sent yet, or have to be sent again.
+    void revokeOnLeavingServers();
     void recordLimit(const Request&, const Progress&, MonotonicTime now);
     void clearGrant(Request&);
     static void rememberParts(Domain&, const Request&, const BackendServerId&, MonotonicTime now);
--- a/src/dispatch/PlacementRouterRequests.cpp
+++ b/src/dispatch/PlacementRouterRequests.cpp
@@ -196,6 +196,18 @@
     requestServer(request, domain, now);
 }
 
+void PlacementRouter::revokeOnLeavingServers()
+{
+    for (auto& [id, request] : m_requests) {
+        if (request.held && !request.revoked
+            && (m_fallback.isLeaving(request.held->server) || m_signals.leaves(request.held->server))) {
+            request.revoked = true;
+            m_actions.emplace_back(
+                DeliverToThread { request.thread, Revoke { id, request.held->grant, RevokeReason::ServerLeaving } });
+        }
+    }
+}
+
 void PlacementRouter::recordLimit(const Request& request, const Progress& progress, MonotonicTime now)
 {
     const auto& id = request.place.domain;
@@ -211,6 +223,7 @@
 void PlacementRouter::recordGrant(Request& request, const Grant& grant, const InstanceId& from, MonotonicTime now)
 {
     request.held = HeldGrant { request.place, grant.grant, grant.server, {} };
+    request.revoked = false;
     request.grantedBy = from;
     request.grantedAt = now;
     m_fallback.addInFlight(grant.server);
--- a/src/dispatch/PlacementRouterTest.cpp
+++ b/src/dispatch/PlacementRouterTest.cpp
@@ -178,6 +178,56 @@
     CHECK(local[0].server == BackendServerId("s2"));
 }
 
+// Guards against a request that is sent to a leaving server on a grant from before the news.
+TEST_CASE("grants for a server that is found to leave are ended, whoever gave them and however the news came")
+{
+    EntryFixture entry;
+    entry.place(makePlace("granted"));
+    entry.fromOwner(Grant { RequestId("granted"), GrantId(5), BackendServerId("s1"), "a:1", 2s });
+    auto place = makePlace("local");
+    place.excluded = { BackendServerId("s2") };
+    entry.place(place);
+    auto local = deliveredMessages<Grant>(entry.router->advance(start + 1s));
+    REQUIRE(local.size() == 1);
+    REQUIRE(local[0].server == BackendServerId("s1"));
+    auto ended = [&](const std::vector<RouterAction>& actions) {
+        std::set<GrantId> grants;
+        for (const auto& it : deliveredMessages<Revoke>(actions)) {
+            CHECK(it.reason == RevokeReason::ServerLeaving);
+            grants.insert(it.grant);
+        }
+        return grants;
+    };
+    const std::set both { GrantId(5), local[0].grant };
+    auto leaving = makeServer("s1", 3);
+    leaving.leaving = true;
+    SECTION("its entry says so")
+    {
+        CHECK(ended(entry.router->handle(ServersChanged { { leaving, makeServer("s2", 3) } }, start + 2s)) == both);
+        // Once is enough.
+        CHECK(ended(entry.router->handle(ServersChanged { { leaving } }, start + 3s)).empty());
+    }
+    SECTION("its entry is removed")
+    {
+        CHECK(ended(entry.router->handle(ServersChanged { { makeServer("s2", 3) } }, start + 2s)) == both);
+    }
+    SECTION("an answer says so")
+    {
+        Progress progress;
+        progress.request = RequestId("granted");
+        progress.grant = GrantId(5);
+        progress.domain = domain;
+        progress.signal = ServerSignal { true, {} };
+        CHECK(ended(entry.router->handle(ThreadMessage { 0, progress }, start + 2s)) == both);
+    }
+    SECTION("another server leaves")
+    {
+        auto other = makeServer("s2", 3);
+        other.leaving = true;
+        CHECK(ended(entry.router->handle(ServersChanged { { makeServer("s1", 3), other } }, start + 2s)).empty());
+    }
+}
+
 // Guards against requests to a server that said in an answer that it leaves, or takes none for some time, as neither
 // the store nor the dispatcher knows of it.
 TEST_CASE("a server that refuses further requests in an answer gets none from this instance")
--- a/src/dispatch/ServerSignals.cpp
+++ b/src/dispatch/ServerSignals.cpp
@@ -33,6 +33,12 @@
     return it != m_signals.end() && it->second.refuses(now);
 }
 
+bool ServerSignals::leaves(const BackendServerId& server) const
+{
+    auto it = m_signals.find(server);
+    return it != m_signals.end() && it->second.leaves;
+}
+
 void ServerSignals::addTo(
     std::vector<BackendServerId>& excluded, const std::vector<const BackendServer*>& servers, MonotonicTime now) const
 {
--- a/src/dispatch/ServerSignals.h
+++ b/src/dispatch/ServerSignals.h
@@ -17,6 +17,7 @@
     void record(const BackendServerId&, const ServerSignal&, MonotonicTime now);
     // Whether the server takes no request from this instance now.
     bool refuses(const BackendServerId&, MonotonicTime now) const;
+    bool leaves(const BackendServerId&) const;
     // Adds those of the servers that take no request from this instance now.
     void addTo(
         std::vector<BackendServerId>& excluded, const std::vector<const BackendServer*>&, MonotonicTime now) const;
--- a/src/entry/RequestMachine.cpp
+++ b/src/entry/RequestMachine.cpp
@@ -105,7 +105,7 @@
     void connect(const Granted& event)
     {
         m_server = event.server;
-        m_sentOnGrant = m_mayBeStale = false;
+        m_sentOnGrant = m_mayBeStale = m_grantEnded = false;
         act(OpenConnection { !m_idempotent && !m_reusesConnection });
     }
     void refusePlacement(const PlacementRefused& event) { end(errorOf(event.code), event.retryAfter); }
@@ -135,7 +135,9 @@
     }
     void retry(const AttemptFailed& event)
     {
-        bool repeats = m_state != RequestState::Connect && !unwritten(event) && !isRevocation(event.cause);
+        bool leftServer = event.cause == AttemptFailure::ServerLeaving;
+        bool sent = m_state == RequestState::Connect ? leftServer && m_sentOnGrant : !unwritten(event);
+        bool repeats = sent && event.cause != AttemptFailure::Preempted;
         noteWritten(event);
         leaveServer(event);
         if (repeats) {
@@ -174,11 +176,12 @@
         m_mayBeStale = false;
         act(OpenConnection { true });
     }
+    void endGrant(const GrantEnded&) { m_grantEnded = true; }
     void fail(const AttemptFailed& event)
     {
         noteWritten(event);
         leaveServer(event);
-        end(errorOf(event.cause));
+        end(isRevocation(event.cause) && m_written ? CallerError::BackendFailed : errorOf(event.cause));
     }
     void stop(const Stopped& event)
     {
@@ -201,7 +204,7 @@
             return false;
         }
         if (isRevocation(event.cause)) {
-            return canMove();
+            return canMove() && (event.cause == AttemptFailure::Preempted || !m_sentOnGrant || mayRepeat());
         }
         if (m_attempts >= maxAttempts) {
             return false;
@@ -215,7 +218,7 @@
     bool isStale(const AttemptFailed& event)
     {
         bool sending = m_state == RequestState::Send || m_state == RequestState::AwaitFirstByte;
-        return sending && m_mayBeStale && m_idempotent && event.cause == AttemptFailure::Broken;
+        return sending && m_mayBeStale && !m_grantEnded && m_idempotent && event.cause == AttemptFailure::Broken;
     }
     bool isRepeatable(const AnswerStarted& event)
     {
@@ -235,6 +238,10 @@
         bool sent = m_state >= RequestState::Send;
         return !sent || (m_idempotent && (!m_callerReached || m_resumable));
     }
+    bool canMoveUnsent() const
+    {
+        return m_state == RequestState::Connect || (m_state == RequestState::Send && canMove() && mayRepeat());
+    }
     bool unwritten(const AttemptFailed& event) const
     {
         return m_state == RequestState::Send && m_idempotent && !event.bytesWritten;
@@ -252,7 +259,8 @@
         if (isRevocation(cause)) {
             outcome = FinishOutcome::Aborted;
         } else if (m_sentOnGrant && (cause == AttemptFailure::Broken || cause == AttemptFailure::Unreachable)) {
-            outcome = event.serverAccepts ? FinishOutcome::Disconnected : FinishOutcome::ServerDied;
+            // A leaving server closes its connections itself.
+            outcome = event.serverAccepts || m_grantEnded ? FinishOutcome::Disconnected : FinishOutcome::ServerDied;
         }
         act(ReleaseGrant { outcome });
         if (cause != AttemptFailure::Preempted) {
@@ -292,7 +300,9 @@
               row<AwaitFirstByte, AttemptFailed, AwaitGrant, &D::retry, &D::canRetry>,
               row<AwaitFirstByte, AttemptFailed, Connect, &D::reconnect, &D::isStale>,
               row<AwaitFirstByte, AttemptFailed, Finish, &D::fail, &D::cannotRetry>,
-              a_irow<Stream, CallerReached, &D::noteCaller>, a_row<Stream, AnswerCompleted, Finish, &D::complete>,
+              a_irow<Send, GrantEnded, &D::endGrant>, a_irow<AwaitFirstByte, GrantEnded, &D::endGrant>,
+              a_irow<Stream, GrantEnded, &D::endGrant>, a_irow<Stream, CallerReached, &D::noteCaller>,
+              a_row<Stream, AnswerCompleted, Finish, &D::complete>,
               row<Stream, AttemptFailed, AwaitGrant, &D::retry, &D::canRetry>,
               row<Stream, AttemptFailed, Finish, &D::fail, &D::cannotRetry>, a_row<ReadHead, Stopped, Finish, &D::stop>,
               a_row<Authenticate, Stopped, Finish, &D::stop>, a_row<ReadBody, Stopped, Finish, &D::stop>,
@@ -319,6 +329,7 @@
     bool m_wasWritten = false; // the same before the current attempt
     bool m_sentOnGrant = false;
     bool m_mayBeStale = false;
+    bool m_grantEnded = false;
     bool m_serverError = false;
 };
 
@@ -351,9 +362,15 @@
     return m_impl->m_state >= RequestState::Connect && m_impl->m_state <= RequestState::Stream && m_impl->canMove();
 }
 
+bool RequestMachine::canMoveUnsent() const
+{
+    return m_impl->canMoveUnsent();
+}
+
 bool RequestMachine::suggestsDeath(const AttemptFailed& event) const
 {
-    return event.cause == AttemptFailure::Broken && m_impl->m_sentOnGrant && !m_impl->isStale(event);
+    return event.cause == AttemptFailure::Broken && m_impl->m_sentOnGrant && !m_impl->m_grantEnded
+        && !m_impl->isStale(event);
 }
 
 RunStatus RequestMachine::runStatus() const
--- a/src/entry/RequestMachine.h
+++ b/src/entry/RequestMachine.h
@@ -75,13 +75,15 @@
     // Whether the server took a new connection after this one broke, so that its process has not died.
     bool serverAccepts = false;
 };
+// Nothing may be sent to the granted server any more. What it was sent before goes on.
+struct GrantEnded { };
 // Ends the request: refused, withdrawn key, deadline, caller left or stalled.
 struct Stopped {
     CallerError reason;
 };
 
 using RequestEvent = std::variant<HeadRead, Authenticated, BodyRead, Granted, PlacementRefused, Connected, RequestSent,
-    AnswerStarted, CallerReached, AnswerCompleted, AttemptFailed, Stopped>;
+    AnswerStarted, CallerReached, AnswerCompleted, AttemptFailed, GrantEnded, Stopped>;
 
 struct DoAuthenticate { };
 struct DoReadBody { };
@@ -135,8 +137,10 @@
     std::vector<RequestAction> handle(const RequestEvent&);
 
     RequestState state() const;
-    // Whether a running attempt could stop now and continue elsewhere. A revoked grant is obeyed only then.
+    // Whether a running attempt could stop now and continue elsewhere. A preempted grant is obeyed only then.
     bool canMove() const;
+    // Whether a running attempt has not been sent whole, so that it need not be sent to this server.
+    bool canMoveUnsent() const;
     // Whether the failure would be reported as the server's death unless it still accepts connections.
     bool suggestsDeath(const AttemptFailed&) const;
     // What is true if the request ended now without an answer.
--- a/src/entry/RequestMachineTest.cpp
+++ b/src/entry/RequestMachineTest.cpp
@@ -178,6 +178,43 @@
     }
 }
 
+// Guards against a request that is sent again to a leaving server, and against one that other servers get too often.
+TEST_CASE("a request whose grant has ended goes to another server, as long as it may be repeated")
+{
+    Paper paper;
+    paper.admit(true, false);
+    bool mayRepeat = GENERATE(true, false);
+    bool reconnects = GENERATE(true, false);
+    paper.send("a", true);
+    if (!mayRepeat) {
+        while (paper.budget.hasCredit()) {
+            paper.budget.take();
+        }
+    }
+    if (reconnects) {
+        // The news comes while the request is about to be sent again.
+        paper.post(AttemptFailed { AttemptFailure::Broken });
+        REQUIRE(paper.find<OpenConnection>());
+        CHECK(paper.machine.canMoveUnsent());
+        paper.post(AttemptFailed { AttemptFailure::ServerLeaving });
+    } else {
+        CHECK_FALSE(paper.machine.canMoveUnsent());
+        paper.post(GrantEnded {});
+        CHECK_FALSE(paper.machine.suggestsDeath(AttemptFailed { AttemptFailure::Broken }));
+        paper.post(AttemptFailed { AttemptFailure::Broken });
+    }
+    CHECK_FALSE(paper.find<OpenConnection>());
+    CHECK(paper.released() == (reconnects ? FinishOutcome::Aborted : FinishOutcome::Disconnected));
+    if (mayRepeat) {
+        REQUIRE(paper.find<AskForGrant>());
+        CHECK(paper.find<AskForGrant>()->excluded == std::vector { BackendServerId("a") });
+    } else {
+        REQUIRE(paper.find<Refuse>());
+        CHECK(paper.find<Refuse>()->code == CallerError::BackendFailed);
+        CHECK(paper.find<Refuse>()->run == RunStatus::Unknown);
+    }
+}
+
 // Guards against retries that multiply an overload.
 TEST_CASE("retries of sent requests end with the domain's budget and after three attempts")
 {
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -171,10 +171,17 @@
 void RequestRunner::revoke(const Revoke& revoke)
 {
     bool granting = m_machine.state() == RequestState::AwaitGrant;
-    if (m_concluding || m_interrupt || !(granting || m_machine.canMove())) {
+    bool preempted = revoke.reason == RevokeReason::Preempted;
+    if (m_concluding || m_interrupt) {
         return;
     }
-    auto cause = revoke.reason == RevokeReason::Preempted ? AttemptFailure::Preempted : AttemptFailure::ServerLeaving;
+    if (!granting && !(preempted ? m_machine.canMove() : m_machine.canMoveUnsent())) {
+        if (!preempted) {
+            m_machine.handle(GrantEnded {});
+        }
+        return;
+    }
+    auto cause = preempted ? AttemptFailure::Preempted : AttemptFailure::ServerLeaving;
     if (granting) {
         // The grant has arrived and the coroutine is about to take it up.
         m_interrupt = AttemptFailed { cause, false };
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -53,7 +53,7 @@
     void stop(CallerError reason);
     // Ends a request that waits for a backend server, if its run would not end before the shutdown does.
     void stopLateWait();
-    // Moves the request to another backend server if that is possible.
+    // Moves the request to another backend server if that is possible, and necessary.
     void revoke(const Revoke&);
 
     const RequestId& id() const { return m_id; }
