Tell peers the store's list, and apart from it what is only kept

Callers' requests reached servers that had left 4.6 s before and that the sending instance had taken off its list already.

Cause: an instance that was cut off from the store keeps entries that were removed meanwhile for 2.3 s after its return, as they may only have lapsed. A reader of a data centre handed this list on, as the store's at its newest revision. Its listeners had been in touch all along and knew from other readers of the removals; the newer revision overruled that, and the servers were used again. When the reader dropped them, listeners that held the same revision from the other reader ignored the change, and a later list overruled the rumour that the servers were missing, so that they stayed for good.

Now a revision stands for exactly the store's items. Kept ones are told apart, with the time that is left: a listener keeps only what it still has, or all of it if it has no list, and drops it when the reader does. A server that is only kept no longer overrules a rumour that it is missing. What a listener keeps no longer waits for a store that the listener does not read.

--- a/include/lagoonspoke/dispatch/BackendServer.h
+++ b/include/lagoonspoke/dispatch/BackendServer.h
@@ -15,6 +15,8 @@
     int slots = 8; // concurrent requests
     bool cheap = false; // the platform may evict it at any time
     bool leaving = false;
+    // The list no longer names it, but may do so again in a moment, as after an outage of the list's store.
+    bool lapsed = false;
 
     bool operator==(const BackendServer&) const = default;
 };
--- a/src/daemon/DispatchRumoursTest.cpp
+++ b/src/daemon/DispatchRumoursTest.cpp
@@ -107,6 +107,28 @@
     CHECK(inUse(late) == 2);
 }
 
+// Guards against requests to a server that has left, on an instance whose list only keeps it for a moment.
+TEST_CASE("a list that keeps a lapsed server does not overrule a rumour that it is missing")
+{
+    ServerDirectory directory;
+    BackendServer lapsed { BackendServerId("s1"), DataCentreId("a"), TargetName("m"), "127.0.0.1:1", 8 };
+    lapsed.lapsed = true;
+    BackendServer stays { BackendServerId("s2"), DataCentreId("a"), TargetName("m"), "127.0.0.1:2", 8 };
+    bool rumourFirst = GENERATE(true, false);
+    if (rumourFirst) {
+        directory.hear({ "missing/s1", 7, "" });
+    }
+    directory.setList({ lapsed, stays }, 9);
+    if (!rumourFirst) {
+        CHECK_FALSE(directory.servers()[0].leaving);
+        directory.hear({ "missing/s1", 7, "" });
+    }
+    CHECK(directory.servers()[0].leaving);
+    lapsed.lapsed = false;
+    directory.setList({ lapsed, stays }, 10);
+    CHECK_FALSE(directory.servers()[0].leaving);
+}
+
 // Guards against a target that is refused as a whole while its servers are listed.
 TEST_CASE("rumours of absence do not take the last servers of a target")
 {
--- a/src/daemon/ServerDirectory.cpp
+++ b/src/daemon/ServerDirectory.cpp
@@ -27,7 +27,8 @@
         if (server.leaving && m_leaving.insert(server.id).second) {
             rumours.push_back(makeRumour(leavingPrefix, server.id, 1));
         }
-        if (auto it = m_missing.find(server.id); it != m_missing.end() && (revision == 0 || revision > it->second)) {
+        if (auto it = m_missing.find(server.id);
+            it != m_missing.end() && !server.lapsed && (revision == 0 || revision > it->second)) {
             m_missing.erase(it);
         }
     }
@@ -87,8 +88,8 @@
         }
     } else if (rumour.key.starts_with(missingPrefix)) {
         BackendServerId id(rumour.key.substr(missingPrefix.size()));
-        bool isListed = std::ranges::count(m_servers, id, &BackendServer::id) > 0;
-        bool isOutdated = isListed && m_revision > rumour.version;
+        auto known = std::ranges::find(m_servers, id, &BackendServer::id);
+        bool isOutdated = known != m_servers.end() && !known->lapsed && m_revision > rumour.version;
         auto [it, isNew] = m_missing.try_emplace(id, rumour.version);
         if (isOutdated || (!isNew && it->second >= rumour.version)) {
             if (isNew) {
--- a/src/external/CollectionDirectory.cpp
+++ b/src/external/CollectionDirectory.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr std::string_view instancePrefix = "instance/";
+// Peers drop a kept item when a reader tells so. Without its word they keep it for longer than they wait for a silent
+// reader before they read the store themselves.
+constexpr Duration keptByPeers = std::chrono::milliseconds(1500);
 
 std::string encodeInstance(const Member& member)
 {
@@ -63,7 +66,7 @@
     bool registered = false;
     bool stopped = false;
 
-    void applyServers(const std::map<std::string, std::string>&, const DecodeServer&);
+    void applyServers(const CollectionFollower&, const DecodeServer&);
     void applyInstances(const CollectionList&) const;
     static asio::awaitable<void> listInstances(std::shared_ptr<State>);
     static asio::awaitable<void> registerSelf(std::shared_ptr<State>);
@@ -92,7 +95,7 @@
     CollectionWatcher::Callbacks callbacks;
     callbacks.updated = [this](const auto& items) {
         noteItems(items);
-        m_state->applyServers(items, m_decode);
+        m_state->applyServers(m_watcher->follower(), m_decode);
     };
     auto follower = m_options.follower;
     follower.watchPause = m_options.watchPause;
@@ -134,23 +137,56 @@
     return m_lastChange;
 }
 
+bool CollectionDirectory::isKept(const std::string& name) const
+{
+    return m_watcher->follower().kept().contains(name);
+}
+
+Duration CollectionDirectory::keptFor(const std::string& name) const
+{
+    auto until = m_watcher->follower().kept().at(name);
+    return std::max(Duration(0), until - readMonotonicClock()) + keptByPeers;
+}
+
+// Peers are told of the store's items. What this instance keeps besides is not on the list at that revision, and a peer
+// that knows it to be gone must not take it back.
 void CollectionDirectory::noteItems(const std::map<std::string, std::string>& items)
 {
     boost::json::array changes;
+    std::map<std::string, std::string> listed;
+    std::set<std::string> kept;
     for (const auto& [name, value] : items) {
+        if (isKept(name)) {
+            kept.insert(name);
+            continue;
+        }
         if (auto it = m_items.find(name); it == m_items.end() || it->second != value) {
             changes.push_back(boost::json::object { { "name", name }, { "value", value } });
         }
+        listed.emplace(name, value);
     }
+    auto addRemoval = [&](const std::string& name) {
+        boost::json::object removal { { "name", name }, { "removed", true } };
+        if (isKept(name)) {
+            removal["kept_ms"] = static_cast<std::int64_t>(toMilliseconds(keptFor(name)));
+        }
+        changes.push_back(std::move(removal));
+    };
     for (const auto& [name, value] : m_items) {
+        if (!listed.contains(name)) {
+            addRemoval(name);
+        }
+    }
+    for (const auto& name : m_kept) {
         if (!items.contains(name)) {
-            changes.push_back(boost::json::object { { "name", name }, { "removed", true } });
+            addRemoval(name);
         }
     }
     auto revision = m_watcher->follower().itemsRevision();
     m_lastChange = boost::json::serialize(
         boost::json::object { { "from", m_itemsRevision }, { "revision", revision }, { "items", std::move(changes) } });
-    m_items = items;
+    m_items = std::move(listed);
+    m_kept = std::move(kept);
     m_itemsRevision = revision;
 }
 
@@ -161,7 +197,12 @@
     }
     boost::json::array items;
     for (const auto& [name, value] : m_watcher->follower().items()) {
-        items.push_back(boost::json::object { { "name", name }, { "value", value } });
+        boost::json::object item { { "name", name }, { "value", value } };
+        if (isKept(name)) {
+            item["removed"] = true;
+            item["kept_ms"] = static_cast<std::int64_t>(toMilliseconds(keptFor(name)));
+        }
+        items.push_back(std::move(item));
     }
     return boost::json::serialize(
         boost::json::object { { "revision", m_watcher->follower().itemsRevision() }, { "items", std::move(items) } });
@@ -176,13 +217,14 @@
     std::vector<Error> errors;
     JsonReader reader(*value, "", errors);
     constexpr auto most = std::numeric_limits<std::int64_t>::max();
+    constexpr std::int64_t mostKeptMs = 60'000;
     bool isChange = reader.has("from");
     auto from = static_cast<std::uint64_t>(reader.readInteger("from", 0, most, 0));
     CollectionChanges heard;
     heard.revision = static_cast<std::uint64_t>(reader.readInteger("revision", 0, most));
     for (auto& it : reader.readObjects("items")) {
-        CollectionChange change { { it.readString("name"), it.readString("value", "") },
-            it.readBool("removed", false) };
+        CollectionChange change { { it.readString("name"), it.readString("value", "") }, it.readBool("removed", false),
+            std::chrono::milliseconds(it.readInteger("kept_ms", 0, mostKeptMs, 0)) };
         heard.changes.push_back(std::move(change));
     }
     if (!errors.empty()) {
@@ -198,18 +240,22 @@
         m_watcher->tell(CollectionChangesHeard { from, std::move(heard) });
         return {};
     }
-    CollectionList list;
-    list.revision = heard.revision;
+    CollectionHeard whole;
+    whole.list.revision = heard.revision;
     for (auto& change : heard.changes) {
-        list.items.push_back(std::move(change.item));
+        if (change.removed) {
+            whole.kept.push_back(std::move(change));
+        } else {
+            whole.list.items.push_back(std::move(change.item));
+        }
     }
-    m_watcher->tell(CollectionHeard { std::move(list) });
+    m_watcher->tell(std::move(whole));
     return {};
 }
 
-void CollectionDirectory::State::applyServers(
-    const std::map<std::string, std::string>& items, const DecodeServer& decode)
+void CollectionDirectory::State::applyServers(const CollectionFollower& follower, const DecodeServer& decode)
 {
+    const auto& items = follower.items();
     std::vector<BackendServer> servers;
     for (const auto& [name, value] : items) {
         auto server = decode(name, value);
@@ -221,6 +267,7 @@
             }
         } else if (*server) {
             servers.push_back(std::move(**server));
+            servers.back().lapsed = follower.kept().contains(name);
         }
     }
     std::erase_if(unreadable, [&](const std::string& name) { return !items.contains(name); });
--- a/src/external/CollectionDirectory.h
+++ b/src/external/CollectionDirectory.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <set>
+
 #include "external/CollectionWatcher.h"
 #include "external/InstanceDirectory.h"
 #include "external/ObjectStore.h"
@@ -40,6 +42,9 @@
     struct State;
 
     void noteItems(const std::map<std::string, std::string>&);
+    // How long peers keep an item that the store no longer has, if they know it.
+    Duration keptFor(const std::string& name) const;
+    bool isKept(const std::string& name) const;
 
     Options m_options;
     ObjectCollectionPtr m_servers;
@@ -47,7 +52,8 @@
     ObjectCollectionPtr m_instances;
     ObjectStorePtr m_store;
     std::unique_ptr<CollectionWatcher> m_watcher;
-    std::map<std::string, std::string> m_items; // as told last
+    std::map<std::string, std::string> m_items; // of the store, as told last
+    std::set<std::string> m_kept; // as told last
     std::uint64_t m_itemsRevision = 0;
     std::string m_lastChange;
     // Shared with the coroutines of calls, which end some time after stop().
--- a/src/external/CollectionFollower.cpp
+++ b/src/external/CollectionFollower.cpp
@@ -53,7 +53,7 @@
     if (m_watchAt) {
         next = std::min(next.value_or(*m_watchAt), *m_watchAt);
     }
-    for (const auto& [name, until] : m_missing) {
+    for (const auto& [name, until] : m_kept) {
         next = std::min(next.value_or(until), until);
     }
     return next;
@@ -72,7 +72,7 @@
 void CollectionFollower::take(CollectionListed listed, MonotonicTime now)
 {
     noteAnswer(now);
-    replaceItems(std::move(listed.list), now);
+    replaceItems(std::move(listed.list), {}, now);
     watch(Duration(0), now);
 }
 
@@ -80,7 +80,7 @@
 {
     if (takesHearsay() && heard.list.revision > m_itemsRevision) {
         auto revision = heard.list.revision;
-        replaceItems(std::move(heard.list), now);
+        replaceItems(std::move(heard.list), heard.kept, now);
         m_itemsRevision = revision;
     }
 }
@@ -103,7 +103,7 @@
     m_watches = role.watches;
 }
 
-void CollectionFollower::replaceItems(CollectionList list, MonotonicTime now)
+void CollectionFollower::replaceItems(CollectionList list, const std::vector<CollectionChange>& kept, MonotonicTime now)
 {
     // What was written after the copy that the store was restored from is written again.
     if (m_known && restorationsOf(list.revision) > restorationsOf(m_revision)) {
@@ -121,7 +121,14 @@
         }
     }
     for (const auto& name : missing) {
-        remove(name, now);
+        auto told = std::ranges::find(kept, name, [](const CollectionChange& it) { return it.item.name; });
+        remove(name, told == kept.end() ? Duration(0) : told->keptFor, now);
+    }
+    if (!m_known) {
+        for (const auto& it : kept) {
+            m_items.emplace(it.item.name, it.item.value);
+            keep(it.item.name, now + it.keptFor);
+        }
     }
     m_changed = m_changed || !m_known;
     m_known = true;
@@ -155,14 +162,17 @@
 void CollectionFollower::apply(std::vector<CollectionChange> changes, MonotonicTime now)
 {
     // A store that was silent while a watch waited is not known to have been away. Entries then lapse together.
-    auto removed = std::ranges::count_if(changes, &CollectionChange::removed);
+    // Peers that tell of changes have judged that themselves.
+    auto removed = std::ranges::count_if(changes, [&](const CollectionChange& it) {
+        return it.removed && it.keptFor == Duration(0) && !m_kept.contains(it.item.name);
+    });
     if (removed >= fewestLapsed
         && static_cast<double>(removed) >= lapsedFraction * static_cast<double>(m_items.size())) {
         m_returnedAt = now;
     }
     for (auto& change : changes) {
         if (change.removed) {
-            remove(change.item.name, now);
+            remove(change.item.name, change.keptFor, now);
         } else {
             put(std::move(change.item));
         }
@@ -172,7 +182,7 @@
 void CollectionFollower::put(CollectionItem item)
 {
     // An item that was kept is confirmed even if it did not change.
-    m_changed = m_missing.erase(item.name) > 0 || m_changed;
+    m_changed = m_kept.erase(item.name) > 0 || m_changed;
     auto [it, created] = m_items.try_emplace(std::move(item.name));
     if (created || it->second != item.value) {
         it->second = std::move(item.value);
@@ -180,16 +190,28 @@
     }
 }
 
-void CollectionFollower::remove(const std::string& name, MonotonicTime now)
+void CollectionFollower::remove(const std::string& name, Duration keptFor, MonotonicTime now)
 {
-    if (m_returnedAt && now < *m_returnedAt + m_options.returnGrace) {
-        m_missing.emplace(name, *m_returnedAt + m_options.returnGrace);
+    if (!m_items.contains(name)) {
         return;
     }
-    if (m_items.erase(name) > 0) {
-        m_missing.erase(name);
-        m_changed = true;
+    auto until = now + keptFor;
+    if (m_returnedAt) {
+        until = std::max(until, *m_returnedAt + m_options.returnGrace);
+    }
+    if (now < until) {
+        keep(name, until);
+        return;
     }
+    m_items.erase(name);
+    m_kept.erase(name);
+    m_changed = true;
+}
+
+void CollectionFollower::keep(const std::string& name, MonotonicTime until)
+{
+    // The list without the item is news for peers.
+    m_changed = m_kept.emplace(name, until).second || m_changed;
 }
 
 void CollectionFollower::watch(Duration pause, MonotonicTime now)
@@ -203,13 +225,13 @@
 
 void CollectionFollower::dropOverdue(MonotonicTime now)
 {
-    for (auto it = m_missing.begin(); it != m_missing.end();) {
-        if (it->second > now || !m_reachable) {
+    for (auto it = m_kept.begin(); it != m_kept.end();) {
+        if (it->second > now || (m_watches && !m_reachable)) {
             ++it;
             continue;
         }
         m_changed = m_items.erase(it->first) > 0 || m_changed;
-        it = m_missing.erase(it);
+        it = m_kept.erase(it);
     }
     if (std::exchange(m_changed, false)) {
         m_itemsRevision = std::max(m_itemsRevision, m_revision);
--- a/src/external/CollectionFollower.h
+++ b/src/external/CollectionFollower.h
@@ -25,6 +25,8 @@
 // The collection as a peer knows it.
 struct CollectionHeard {
     CollectionList list;
+    // Removed items that the peer keeps.
+    std::vector<CollectionChange> kept = {};
 };
 // What changed at a peer since the revision that its items were of.
 struct CollectionChangesHeard {
@@ -77,7 +79,11 @@
     std::vector<CollectionAction> advance(MonotonicTime now);
     std::optional<MonotonicTime> nextWakeup() const;
 
+    // The items to go by: those of the store, and those that are kept.
     const std::map<std::string, std::string>& items() const { return m_items; }
+    // Which of the items the store no longer has, and until when they are kept. Peers that know of their removal must
+    // not take them back.
+    const std::map<std::string, MonotonicTime>& kept() const { return m_kept; }
     // Whether the collection was read at least once.
     bool isKnown() const { return m_known; }
     bool isReachable() const { return m_reachable; }
@@ -97,18 +103,20 @@
     void take(const CollectionRoleChanged&, MonotonicTime now);
     // Whether what peers tell counts; the store's own word counts for more while it can be had.
     bool takesHearsay() const { return !m_watches || !m_reachable || !m_known; }
-    void replaceItems(CollectionList, MonotonicTime now);
+    void replaceItems(CollectionList, const std::vector<CollectionChange>& kept, MonotonicTime now);
     void noteAnswer(MonotonicTime now);
     void apply(std::vector<CollectionChange>, MonotonicTime now);
     void put(CollectionItem);
-    void remove(const std::string& name, MonotonicTime now);
+    // Removes the item, or keeps it for a moment: as told, or if the store was away here.
+    void remove(const std::string& name, Duration keptFor, MonotonicTime now);
+    void keep(const std::string& name, MonotonicTime until);
     // Begins the next watch, at once or after a pause.
     void watch(Duration pause, MonotonicTime now);
     void dropOverdue(MonotonicTime now);
 
     Options m_options;
     std::map<std::string, std::string> m_items;
-    std::map<std::string, MonotonicTime> m_missing; // items that are kept until then
+    std::map<std::string, MonotonicTime> m_kept;
     std::vector<CollectionAction> m_actions;
     std::uint64_t m_revision = 0;
     std::uint64_t m_itemsRevision = 0;
--- a/src/external/ObjectCollection.h
+++ b/src/external/ObjectCollection.h
@@ -25,6 +25,8 @@
 struct CollectionChange {
     CollectionItem item; // without a value when it was removed
     bool removed = false;
+    // For this long the removed item may be back, if whoever tells of the change cannot know better.
+    Duration keptFor {};
 };
 
 struct CollectionChanges {
