--- a/src/external/CollectionDirectoryTest.cpp
+++ b/src/external/CollectionDirectoryTest.cpp
@@ -1,5 +1,7 @@
 #include "external/CollectionDirectory.h"
 
+#include <set>
+
 #include <catch2/catch.hpp>
 
 namespace lagoonspoke {
