--- a/src/external/CollectionDirectory.cpp
+++ b/src/external/CollectionDirectory.cpp
@@ -13,9 +13,9 @@
 namespace {
 
 constexpr std::string_view instancePrefix = "instance/";
-// Peers drop a kept item when a reader tells so. Without its word they keep it for longer than they wait for a silent
-// reader before they read the store themselves.
-constexpr Duration keptByPeers = std::chrono::milliseconds(1500);
+// Listeners drop a kept item when a reader tells so. Without its word they keep it for this much longer, in which they
+// notice that the readers are silent and read the store themselves.
+constexpr Duration keptByListeners = std::chrono::milliseconds(1500);
 
 std::string encodeInstance(const Member& member)
 {
@@ -144,8 +144,8 @@
 
 Duration CollectionDirectory::keptFor(const std::string& name) const
 {
-    auto until = m_watcher->follower().kept().at(name);
-    return std::max(Duration(0), until - readMonotonicClock()) + keptByPeers;
+    auto remaining = std::max(Duration(0), m_watcher->follower().kept().at(name) - readMonotonicClock());
+    return isCurrent() ? remaining + keptByListeners : remaining;
 }
 
 // Peers are told of the store's items. What this instance keeps besides is not on the list at that revision, and a peer
