--- a/include/lagoonspoke/dispatch/Messages.h
+++ b/include/lagoonspoke/dispatch/Messages.h
@@ -140,8 +140,9 @@
     ServerLeaving,
 };
 
-// Revokes a grant. If it was preempted, the entry stops the attempt and requests a server again. A leaving server goes on
-// serving what was sent to it, so an attempt that waits for its answer goes on, but is not sent to that server again.
+// Revokes a grant. If it was preempted, the entry stops the attempt and requests a server again. A leaving server goes
+// on serving what was sent to it, so an attempt that waits for its answer goes on, but is not sent to that server
+// again.
 struct Revoke {
     RequestId request;
     GrantId grant;
