Write a removal for peers in one place

The last change and the whole list each built the same JSON for an item that the store no longer has, with the time for which it is kept. Both now call describeRemoval.

--- a/src/external/CollectionDirectory.cpp
+++ b/src/external/CollectionDirectory.cpp
@@ -148,6 +148,15 @@
     return isCurrent() ? remaining + keptByListeners : remaining;
 }
 
+boost::json::object CollectionDirectory::describeRemoval(const std::string& name) const
+{
+    boost::json::object removal { { "name", name }, { "removed", true } };
+    if (isKept(name)) {
+        removal["kept_ms"] = static_cast<std::int64_t>(toMilliseconds(keptFor(name)));
+    }
+    return removal;
+}
+
 // Peers are told of the store's items. What this instance keeps besides is not on the list at that revision, and a peer
 // that knows it to be gone must not take it back.
 void CollectionDirectory::noteItems(const std::map<std::string, std::string>& items)
@@ -165,21 +174,14 @@
         }
         listed.emplace(name, value);
     }
-    auto addRemoval = [&](const std::string& name) {
-        boost::json::object removal { { "name", name }, { "removed", true } };
-        if (isKept(name)) {
-            removal["kept_ms"] = static_cast<std::int64_t>(toMilliseconds(keptFor(name)));
-        }
-        changes.push_back(std::move(removal));
-    };
     for (const auto& [name, value] : m_items) {
         if (!listed.contains(name)) {
-            addRemoval(name);
+            changes.push_back(describeRemoval(name));
         }
     }
     for (const auto& name : m_kept) {
         if (!items.contains(name)) {
-            addRemoval(name);
+            changes.push_back(describeRemoval(name));
         }
     }
     auto revision = m_watcher->follower().itemsRevision();
@@ -197,11 +199,8 @@
     }
     boost::json::array items;
     for (const auto& [name, value] : m_watcher->follower().items()) {
-        boost::json::object item { { "name", name }, { "value", value } };
-        if (isKept(name)) {
-            item["removed"] = true;
-            item["kept_ms"] = static_cast<std::int64_t>(toMilliseconds(keptFor(name)));
-        }
+        auto item = isKept(name) ? describeRemoval(name) : boost::json::object { { "name", name } };
+        item["value"] = value;
         items.push_back(std::move(item));
     }
     return boost::json::serialize(
--- a/src/external/CollectionDirectory.h
+++ b/src/external/CollectionDirectory.h
@@ -2,6 +2,8 @@
 
 #include <set>
 
+#include <boost/json.hpp>
+
 #include "external/CollectionWatcher.h"
 #include "external/InstanceDirectory.h"
 #include "external/ObjectStore.h"
@@ -45,6 +47,8 @@
     // How long peers keep an item that the store no longer has, if they know it.
     Duration keptFor(const std::string& name) const;
     bool isKept(const std::string& name) const;
+    // For a peer: that the store no longer has the item, and how long it is kept, if it is.
+    boost::json::object describeRemoval(const std::string& name) const;
 
     Options m_options;
     ObjectCollectionPtr m_servers;
