Tell the readers of all data centres of a new configuration

What users may have seen (CONFIG): an instance handles a request as only an older configuration allows, seconds after the newer one was acknowledged.

Cause: above 16 instances the two readers of a data centre watch the store and pass changes on to their listeners alone. A watch on a silent connection looks alive for up to 21 s, so when the store is silent to both readers, neither notices, and both go on telling their listeners that they are there. These are in touch, but hear of a change only by asking one random peer a second.

--- a/src/config/DocumentFollower.cpp
+++ b/src/config/DocumentFollower.cpp
@@ -31,7 +31,7 @@
                    [&](const DocumentReceived& it) { take(it.text, false, now); },
                    [&](const DocumentRoleChanged& it) {
                        m_reads = it.reads;
-                       m_listeners = it.listeners;
+                       m_recipients = it.recipients;
                    },
                },
         event);
@@ -62,7 +62,7 @@
     if (!m_reads) {
         return {};
     }
-    return m_listeners.empty() ? pickPeers(m_options.fanOut) : m_listeners;
+    return m_recipients.empty() ? pickPeers(m_options.fanOut) : m_recipients;
 }
 
 std::optional<MonotonicTime> DocumentFollower::nextWakeup() const
--- a/src/config/DocumentFollower.h
+++ b/src/config/DocumentFollower.h
@@ -27,10 +27,10 @@
 struct DocumentPeersChanged {
     std::vector<InstanceId> peers;
 };
-// Whether this instance reads the store, and which peers live by what it tells; none where each reads for itself.
+// Whether this instance reads the store, and which peers it passes changes on to; none where each reads for itself.
 struct DocumentRoleChanged {
     bool reads = true;
-    std::vector<InstanceId> listeners;
+    std::vector<InstanceId> recipients;
 };
 // The number that a peer has in force; 0 without a configuration.
 struct DocumentNumberHeard {
@@ -135,7 +135,7 @@
     std::string m_refused; // the last document that could not take effect
     bool m_reachable = false;
     bool m_reads = true;
-    std::vector<InstanceId> m_listeners;
+    std::vector<InstanceId> m_recipients;
     std::optional<Newer> m_newer; // a number above ours that peers have
     std::optional<MonotonicTime> m_confirmsUntil;
     MonotonicTime m_nextAsk {};
--- a/src/daemon/DocumentService.cpp
+++ b/src/daemon/DocumentService.cpp
@@ -155,10 +155,10 @@
     m_state->watcher->stop();
 }
 
-void DocumentService::setRole(bool reads, std::vector<InstanceId> listeners)
+void DocumentService::setRole(bool reads, std::vector<InstanceId> recipients)
 {
     m_state->watcher->tell(CollectionRoleChanged { reads });
-    m_state->feed(DocumentRoleChanged { reads, std::move(listeners) });
+    m_state->feed(DocumentRoleChanged { reads, std::move(recipients) });
 }
 
 void DocumentService::handleMembers(const std::vector<Member>& members)
--- a/src/daemon/DocumentService.h
+++ b/src/daemon/DocumentService.h
@@ -25,8 +25,8 @@
     // Makes no call and runs no callback afterwards.
     void stop();
 
-    // Whether to read the document, or to live by what peers tell; and the peers that live by what this instance tells.
-    void setRole(bool reads, std::vector<InstanceId> listeners);
+    // Whether to read the document, or to live by what peers tell; and the peers to pass changes on to.
+    void setRole(bool reads, std::vector<InstanceId> recipients);
     void handleMembers(const std::vector<Member>&);
     void handlePeerMessage(const InstanceId& from, std::string_view payload);
 
--- a/src/daemon/PeerService.cpp
+++ b/src/daemon/PeerService.cpp
@@ -108,9 +108,9 @@
     return !m_state->exchange || m_state->exchange->reads();
 }
 
-std::vector<InstanceId> PeerService::listeners() const
+std::vector<InstanceId> PeerService::recipients() const
 {
-    return m_state->exchange ? m_state->exchange->listeners() : std::vector<InstanceId>();
+    return m_state->exchange ? m_state->exchange->recipients() : std::vector<InstanceId>();
 }
 
 void PeerService::setRoleChanged(std::function<void()> handler)
--- a/src/daemon/PeerService.h
+++ b/src/daemon/PeerService.h
@@ -50,8 +50,8 @@
     const std::vector<Member>& members() const;
     // Whether this instance reads what operators and backend servers write to the store, or lives by what peers tell.
     bool readsStore() const;
-    // The instances that live by what this one tells.
-    std::vector<InstanceId> listeners() const;
+    // The instances that this one passes news of the store on to; empty where each reads for itself.
+    std::vector<InstanceId> recipients() const;
     // Sends at best effort and in order over one link; dropped when the peer cannot be reached.
     void send(const InstanceId& to, PeerChannel, std::string payload);
     void publish(Rumour);
--- a/src/daemon/ReaderRoles.cpp
+++ b/src/daemon/ReaderRoles.cpp
@@ -1,6 +1,7 @@
 #include "daemon/ReaderRoles.h"
 
 #include <algorithm>
+#include <map>
 
 #include "membership/Rendezvous.h"
 
@@ -19,24 +20,31 @@
 
 void ReaderRoles::setMembers(const std::vector<Member>& members, MonotonicTime now)
 {
-    std::vector<Member> near;
-    RegionId region;
+    std::map<DataCentreId, std::vector<Member>> eligible;
     auto total = static_cast<std::size_t>(std::ranges::count_if(members, isEligible));
     for (const auto& member : members) {
-        if (member.dataCentre == m_options.dataCentre && isEligible(member)) {
-            near.push_back(member);
-            region = member.region;
+        if (isEligible(member)) {
+            eligible[member.dataCentre].push_back(member);
         }
     }
     auto before = std::exchange(m_readers, {});
     m_listeners.clear();
+    m_otherReaders.clear();
     if (total <= m_options.smallFleet) {
         m_isReader = true;
         return;
     }
-    for (const auto* member : topMembers(readerKey, region, near, m_options.readersPerDataCentre)) {
-        auto known = std::ranges::find(before, member->id, &Reader::id);
-        m_readers.push_back({ member->id, known == before.end() ? std::nullopt : known->heard });
+    const auto& near = eligible[m_options.dataCentre];
+    for (const auto& [dataCentre, there] : eligible) {
+        for (const auto* member : chooseReaders(there)) {
+            if (dataCentre == m_options.dataCentre) {
+                auto known = std::ranges::find(before, member->id, &Reader::id);
+                m_readers.push_back({ member->id, known == before.end() ? std::nullopt : known->heard });
+            }
+            if (member->id != m_options.self) {
+                m_otherReaders.push_back(member->id);
+            }
+        }
     }
     auto isOneOf = [&](const InstanceId& id) { return std::ranges::count(m_readers, id, &Reader::id) > 0; };
     auto wasReader = std::exchange(m_isReader, isOneOf(m_options.self));
@@ -52,6 +60,22 @@
     }
 }
 
+std::vector<const Member*> ReaderRoles::chooseReaders(const std::vector<Member>& dataCentre) const
+{
+    auto region = dataCentre.empty() ? RegionId() : dataCentre.front().region;
+    return topMembers(readerKey, region, dataCentre, m_options.readersPerDataCentre);
+}
+
+std::vector<InstanceId> ReaderRoles::recipients() const
+{
+    if (!m_isReader) {
+        return {};
+    }
+    auto recipients = m_listeners;
+    recipients.insert(recipients.end(), m_otherReaders.begin(), m_otherReaders.end());
+    return recipients;
+}
+
 void ReaderRoles::noteReader(const InstanceId& id, MonotonicTime now)
 {
     if (auto it = std::ranges::find(m_readers, id, &Reader::id); it != m_readers.end()) {
--- a/src/daemon/ReaderRoles.h
+++ b/src/daemon/ReaderRoles.h
@@ -34,6 +34,10 @@
     bool reads(MonotonicTime now) const;
     // The instances that this one tells, as a reader.
     const std::vector<InstanceId>& listeners() const { return m_listeners; }
+    // Those that a reader passes changes on to: its listeners, and the readers of all data centres, as the store's
+    // connections to both readers of one may be silent without their notice. Empty where each instance reads for
+    // itself.
+    std::vector<InstanceId> recipients() const;
     // Whether this reader's word is the one to go by; the second one's counts only while the first one is silent.
     bool isFollowed(const InstanceId&, MonotonicTime now) const;
 
@@ -44,9 +48,11 @@
     };
 
     bool isSilent(const Reader&, MonotonicTime now) const;
+    std::vector<const Member*> chooseReaders(const std::vector<Member>& dataCentre) const;
 
     Options m_options;
     std::vector<Reader> m_readers; // of the data centre, the first choice first
+    std::vector<InstanceId> m_otherReaders; // of all data centres, without this instance
     std::vector<InstanceId> m_listeners;
     bool m_isReader = true;
     MonotonicTime m_changedAt {};
--- a/src/daemon/ServerListExchange.cpp
+++ b/src/daemon/ServerListExchange.cpp
@@ -195,9 +195,9 @@
     return m_state->reading;
 }
 
-std::vector<InstanceId> ServerListExchange::listeners() const
+std::vector<InstanceId> ServerListExchange::recipients() const
 {
-    return m_state->roles.isReader() ? m_state->roles.listeners() : std::vector<InstanceId>();
+    return m_state->roles.recipients();
 }
 
 } // namespace lagoonspoke
--- a/src/daemon/ServerListExchange.h
+++ b/src/daemon/ServerListExchange.h
@@ -31,8 +31,8 @@
     void receive(const InstanceId& from, std::string_view payload);
 
     bool reads() const;
-    // The instances that live by what this one tells; empty where each reads for itself.
-    std::vector<InstanceId> listeners() const;
+    // The instances that this one passes news of the store on to; empty where each reads for itself.
+    std::vector<InstanceId> recipients() const;
 
 private:
     struct State;
