Keep a configuration that the store lost, for instances that start

What callers see (CONFIG): a route that was added, acknowledged and served is answered with 404 for as long as operators write nothing new.

Cause: the store has come back from a copy without the newest configuration. Instances go on with what they have and tell those that start, but the store has no second copy. When the last of them is restarted, the configuration is lost. Class of fault: something that was confirmed lives in the memory of processes alone. Usage records, seals, registrations and leases are written again after a restoration already; the configuration was not, as its document is for operators to write.

Change: instances that read the store and find an older document there than the one in force store a copy under a key of the product's own, at once. A starting instance reads it before it follows the document, and the higher number counts, so that what operators write next wins, also where it goes back to an older content. A copy at each change would help nothing, as the restoration would lose it too. Cost: one read at each start, one write at each restoration.

What remains: if all instances end before one has written the copy, the configuration is lost.

--- a/src/config/DocumentFollower.cpp
+++ b/src/config/DocumentFollower.cpp
@@ -90,8 +90,7 @@
     }
     if (configuration->number <= m_number) {
         if (isFromStore && configuration->number < m_number) {
-            // An instance that starts now has only the store's.
-            m_actions.emplace_back(ReportOlderDocument { configuration->number });
+            m_actions.emplace_back(KeepDocument { configuration->number, m_number, m_text });
             if (auto peers = peersToTell(); !peers.empty()) {
                 m_actions.emplace_back(TellNumber { std::move(peers), m_number, false });
             }
@@ -114,6 +113,12 @@
     }
 }
 
+std::uint64_t DocumentFollower::numberOf(std::string_view text) const
+{
+    auto configuration = m_decode(text);
+    return configuration ? configuration->number : 0;
+}
+
 void DocumentFollower::hearNumber(const DocumentNumberHeard& heard, MonotonicTime now)
 {
     if (heard.number > m_number) {
--- a/src/config/DocumentFollower.h
+++ b/src/config/DocumentFollower.h
@@ -41,7 +41,7 @@
 struct DocumentWanted {
     InstanceId from;
 };
-// A peer's document.
+// A peer's document, or the copy that the fleet keeps in the store.
 struct DocumentReceived {
     InstanceId from;
     std::string text;
@@ -70,13 +70,16 @@
     std::vector<Error> errors;
 };
 
-// The store has an older document than the one in force, as after it was restored from a copy.
-struct ReportOlderDocument {
+// The store has an older document than the one in force, as after it was restored from a copy. The newer one is in the
+// memory of instances alone, so it has to be stored again, for those that start when no other one is left.
+struct KeepDocument {
+    std::uint64_t storedNumber = 0;
     std::uint64_t number = 0;
+    std::string text;
 };
 
 using DocumentAction
-    = std::variant<ApplyDocument, TellNumber, AskForDocument, SendDocument, ReportInvalidDocument, ReportOlderDocument>;
+    = std::variant<ApplyDocument, TellNumber, AskForDocument, SendDocument, ReportInvalidDocument, KeepDocument>;
 
 // Decides which configuration document is in force: the one with the highest number that the store or a peer gave.
 // A number never goes back. Pure; owned by DocumentService.
@@ -106,6 +109,8 @@
     std::optional<MonotonicTime> nextWakeup() const;
 
     std::uint64_t number() const { return m_number; }
+    // The number of a document; 0 if it cannot be read.
+    std::uint64_t numberOf(std::string_view text) const;
 
 private:
     struct Newer {
--- a/src/config/DocumentFollowerTest.cpp
+++ b/src/config/DocumentFollowerTest.cpp
@@ -194,7 +194,11 @@
 
     kit.send(DocumentRead { "6" });
     CHECK_FALSE(kit.find<ApplyDocument>());
-    REQUIRE(kit.find<ReportOlderDocument>());
+    auto kept = kit.find<KeepDocument>();
+    REQUIRE(kept);
+    CHECK(kept->storedNumber == 6);
+    CHECK(kept->number == 8);
+    CHECK(kept->text == "8");
     told = kit.find<TellNumber>();
     REQUIRE(told);
     CHECK(told->number == 8);
--- a/src/daemon/DocumentService.cpp
+++ b/src/daemon/DocumentService.cpp
@@ -14,6 +14,11 @@
 // Peers exchange documents as blobs; an instance has just one, so a request needs no digest.
 const ContentDigest wantedDocument { std::string(64, '0') };
 
+// Of the reads and writes of the copy.
+constexpr Duration retryPause = std::chrono::milliseconds(200);
+// Other instances that keep the copy may come first.
+constexpr int mostKeepAttempts = 5;
+
 DocumentFollower makeFollower(const InstanceId& instance, DecodeDocument decode)
 {
     DocumentFollower::Options options;
@@ -25,10 +30,13 @@
 } // namespace
 
 struct DocumentService::State : std::enable_shared_from_this<State> {
-    State(asio::io_context& context, Options serviceOptions, DecodeDocument decode, ConfigurationPeers servicePeers,
-        ConfigurationService::Callbacks serviceCallbacks)
-        : timer(context)
+    State(asio::io_context& context, Options serviceOptions, ObjectStorePtr objectStore, DecodeDocument decode,
+        ConfigurationPeers servicePeers, ConfigurationService::Callbacks serviceCallbacks)
+        : io(context)
+        , timer(context)
         , options(std::move(serviceOptions))
+        , copyKey("document/" + options.name)
+        , store(std::move(objectStore))
         , peers(std::move(servicePeers))
         , callbacks(std::move(serviceCallbacks))
         , follower(makeFollower(options.instance, std::move(decode)))
@@ -97,14 +105,22 @@
         }
     }
 
-    void run(const ReportOlderDocument& it) const
+    void run(KeepDocument& it)
     {
         LogLine(LogLevel::Warning, "configuration_older_in_store")
             .add("document", options.name)
-            .add("number", it.number)
-            .add("in_force", follower.number());
+            .add("number", it.storedNumber)
+            .add("in_force", it.number);
+        if (!std::exchange(keeping, true)) {
+            asio::co_spawn(io, keep(shared_from_this(), it.number, std::move(it.text)), asio::detached);
+        }
     }
 
+    static asio::awaitable<void> keep(std::shared_ptr<State>, std::uint64_t number, std::string text);
+    // Reads the copy before the document is followed, so that an older one is never in force.
+    static asio::awaitable<void> start(std::shared_ptr<State>);
+    static asio::awaitable<void> pause(asio::io_context&);
+
     void send(const InstanceId& to, const ConfigurationMessage& message) const
     {
         if (peers.send) {
@@ -112,18 +128,79 @@
         }
     }
 
+    asio::io_context& io;
     asio::steady_timer timer;
     Options options;
+    std::string copyKey;
+    ObjectStorePtr store;
     ConfigurationPeers peers;
     ConfigurationService::Callbacks callbacks;
     DocumentFollower follower;
     std::unique_ptr<CollectionWatcher> watcher;
+    bool keeping = false;
     bool stopped = false;
 };
 
+asio::awaitable<void> DocumentService::State::pause(asio::io_context& context)
+{
+    asio::steady_timer wait(context, retryPause);
+    co_await wait.async_wait(useTuple);
+}
+
+asio::awaitable<void> DocumentService::State::keep(std::shared_ptr<State> state, std::uint64_t number, std::string text)
+{
+    for (int i = 0; i < mostKeepAttempts && !state->stopped; ++i) {
+        auto stored = co_await state->store->get(state->copyKey);
+        if (stored && state->follower.numberOf(stored->value) >= number) {
+            break;
+        }
+        std::optional<std::uint64_t> version;
+        std::optional<Error> error;
+        if (stored) {
+            version = stored->version;
+        } else if (stored.error().code != ErrorCode::NotFound) {
+            error = stored.error();
+        }
+        if (!error) {
+            auto written = co_await state->store->write(state->copyKey, text, version);
+            error = written ? std::nullopt : std::optional(written.error());
+        }
+        LogLine(error ? LogLevel::Warning : LogLevel::Info, "configuration_copy_stored")
+            .add("document", state->options.name)
+            .add("number", number)
+            .add("error", error ? error->message : std::string());
+        if (!error) {
+            break;
+        }
+        co_await pause(state->io);
+    }
+    state->keeping = false;
+}
+
+asio::awaitable<void> DocumentService::State::start(std::shared_ptr<State> state)
+{
+    while (!state->stopped) {
+        auto copy = co_await state->store->get(state->copyKey);
+        if (copy) {
+            LogLine(LogLevel::Info, "configuration_copy_read")
+                .add("document", state->options.name)
+                .add("number", state->follower.numberOf(copy->value));
+            state->feed(DocumentReceived { state->options.instance, std::move(copy->value) });
+        }
+        if (copy || copy.error().code == ErrorCode::NotFound || copy.error().code == ErrorCode::ProtocolViolation) {
+            break;
+        }
+        co_await pause(state->io);
+    }
+    if (!state->stopped) {
+        state->watcher->start();
+    }
+}
+
 DocumentService::DocumentService(asio::io_context& io, Options options, ObjectCollectionPtr collection,
-    DecodeDocument decode, ConfigurationPeers peers, ConfigurationService::Callbacks callbacks)
-    : m_state(std::make_shared<State>(io, options, std::move(decode), std::move(peers), std::move(callbacks)))
+    ObjectStorePtr store, DecodeDocument decode, ConfigurationPeers peers, ConfigurationService::Callbacks callbacks)
+    : m_state(std::make_shared<State>(
+        io, options, std::move(store), std::move(decode), std::move(peers), std::move(callbacks)))
 {
     CollectionWatcher::Callbacks watched;
     watched.updated = [state = m_state.get()](const std::map<std::string, std::string>& items) {
@@ -144,7 +221,7 @@
 
 void DocumentService::start()
 {
-    m_state->watcher->start();
+    asio::co_spawn(m_state->io, State::start(m_state), asio::detached);
     m_state->scheduleWakeup();
 }
 
--- a/src/daemon/DocumentService.h
+++ b/src/daemon/DocumentService.h
@@ -3,11 +3,14 @@
 #include "config/DocumentFollower.h"
 #include "daemon/ConfigurationService.h"
 #include "external/CollectionFollower.h"
+#include "external/ObjectStore.h"
 
 namespace lagoonspoke {
 
 // Keeps the configuration of an installation whose operators write it as one document in the store. Follows the
-// document's collection and passes it on between peers, so that instances that the store turns away hear of it.
+// document's collection and passes it on between peers, so that instances that the store turns away hear of it. If the
+// store has come back with an older document than the one in force, it also stores a copy of the latter, which counts
+// for instances that start until operators write a newer one.
 // Owned by the Daemon; used on the control thread only.
 class DocumentService {
 public:
@@ -17,7 +20,8 @@
         CollectionFollower::Options follower;
     };
 
-    DocumentService(asio::io_context&, Options, ObjectCollectionPtr, DecodeDocument, ConfigurationPeers,
+    // The copy is kept in the object store.
+    DocumentService(asio::io_context&, Options, ObjectCollectionPtr, ObjectStorePtr, DecodeDocument, ConfigurationPeers,
         ConfigurationService::Callbacks);
     ~DocumentService();
 
--- a/src/daemon/StoreServices.cpp
+++ b/src/daemon/StoreServices.cpp
@@ -74,8 +74,8 @@
     auto peers = ConfigurationPeers::Make(&m_peers);
     if (const auto& document = interfaces.document) {
         DocumentService::Options options { m_settings.instance, document->name, {} };
-        m_document.emplace(
-            io, std::move(options), document->collection, document->decode, std::move(peers), std::move(callbacks));
+        m_document.emplace(io, std::move(options), document->collection, interfaces.store, document->decode,
+            std::move(peers), std::move(callbacks));
     } else {
         m_tickets.emplace(io, m_settings, interfaces.tickets, std::move(peers), std::move(callbacks));
     }
