Resume a broken stream only at the software version that began it

Cause: an answer whose worker breaks off goes on at any server that the dispatcher grants. The version in a worker's entry was not read, and neither a request for a server nor a grant had one. Class of fault: work goes on elsewhere on the assumption that all servers of a target are alike.

Change: the list of servers and grants have the version. Once the caller has a part of a stream, its further requests for a server are bound to the version of the server that brought it: at the dispatcher (placement with and without known prompts, isolation), at an instance that places by itself, and at the entry, which declines a grant of another version, as an earlier release's dispatcher may give. Servers of the version that are busy are waited for; if none is listed any more, the stream is cut, or the request refused, at once (stream_version_gone). Logs have the version of each attempt's server.

DispatchFaultsTest holds the dispatcher's part.

--- a/include/lagoonspoke/core/Ids.h
+++ b/include/lagoonspoke/core/Ids.h
@@ -18,6 +18,8 @@
 using RequestId = StringId<struct RequestIdTag>;
 // The model or plain service that a request asks for.
 using TargetName = StringId<struct TargetNameTag>;
+// The version of a backend server's software, as it names it; empty if it names none. Versions have no order.
+using SoftwareVersion = StringId<struct SoftwareVersionTag>;
 // Lower-case hexadecimal SHA-256 of a caller's key.
 using KeyDigest = StringId<struct KeyDigestTag>;
 // Lower-case hexadecimal SHA-256 of a stored value.
--- a/include/lagoonspoke/dispatch/BackendServer.h
+++ b/include/lagoonspoke/dispatch/BackendServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "lagoonspoke/core/Ids.h"
@@ -17,8 +18,15 @@
     bool leaving = false;
     // The list no longer names it, but may do so again in a moment, as after an outage of the list's store.
     bool lapsed = false;
+    SoftwareVersion softwareVersion {};
 
     bool operator==(const BackendServer&) const = default;
 };
 
+// Whether the server may run a request that is bound to the version, if to any.
+inline bool fitsVersion(const BackendServer& server, const std::optional<SoftwareVersion>& version)
+{
+    return !version || server.softwareVersion == *version;
+}
+
 } // namespace lagoonspoke
--- a/include/lagoonspoke/dispatch/Messages.h
+++ b/include/lagoonspoke/dispatch/Messages.h
@@ -35,6 +35,8 @@
     std::vector<BackendServerId> excluded; // servers that failed this request
     // The prompt's shared parts, each by itself; empty if the caller does not name them.
     std::vector<Fingerprint> parts = {};
+    // The only version of servers that may run the request: it continues a stream that was begun at this version.
+    std::optional<SoftwareVersion> softwareVersion = {};
 };
 
 enum class FinishOutcome {
@@ -115,6 +117,7 @@
     BackendServerId server;
     std::string address; // IP:port
     Duration expiry {}; // time within which the request must be started
+    SoftwareVersion softwareVersion = {}; // of the server
 };
 
 enum class RefusalCode {
@@ -125,6 +128,7 @@
     Quarantined, // the request, or a part of its prompt, crashed backend servers
     NoServers, // the domain has no backend server
     NotOwner, // this instance does not run the domain's dispatcher
+    VersionGone, // no server has the software version that began the stream
 };
 
 std::string_view toString(RefusalCode);
--- a/src/dispatch/Admission.cpp
+++ b/src/dispatch/Admission.cpp
@@ -73,6 +73,10 @@
         m_state.refuse(waiting, RefusalCode::NoServers, defaultRetryAfter);
         return true;
     }
+    if (!m_state.pool.serves(place.softwareVersion) && !m_state.isSettling(now)) {
+        m_state.refuse(waiting, RefusalCode::VersionGone, defaultRetryAfter);
+        return true;
+    }
     if (!m_state.pool.isEmpty() && m_state.selector.predictUnloaded(waiting) > place.remaining) {
         m_state.refuse(waiting, RefusalCode::DeadlineTooShort, Duration(0));
         return true;
--- a/src/dispatch/BaselineDispatcher.cpp
+++ b/src/dispatch/BaselineDispatcher.cpp
@@ -125,7 +125,7 @@
     std::vector<Server*> choices;
     std::vector<Server*> excluded;
     for (auto& it : m_servers) {
-        if (!it.server.leaving) {
+        if (!it.server.leaving && fitsVersion(it.server, place.softwareVersion)) {
             (std::ranges::count(place.excluded, it.server.id) ? excluded : choices).push_back(&it);
         }
     }
@@ -172,7 +172,7 @@
         m_activeGrants[waiting.place.request] = { waiting.entry, server->server.id };
         m_actions.emplace_back(SendToEntry { waiting.entry,
             Grant { waiting.place.request, GrantId(++m_lastGrant), server->server.id, server->server.address,
-                m_options.grantExpiry } });
+                m_options.grantExpiry, server->server.softwareVersion } });
         m_queue.pop_front();
     }
 }
--- a/src/dispatch/DispatchCounters.h
+++ b/src/dispatch/DispatchCounters.h
@@ -10,7 +10,7 @@
 
 // Counts the decisions of one dispatcher since its creation, for metrics and measurements.
 struct DispatchCounters {
-    static constexpr std::size_t refusalCodes = static_cast<std::size_t>(RefusalCode::NotOwner) + 1;
+    static constexpr std::size_t refusalCodes = static_cast<std::size_t>(RefusalCode::VersionGone) + 1;
 
     std::uint64_t grants = 0;
     std::uint64_t guaranteedGrants = 0; // outside the strict priority order, from a tier's guaranteed share
--- a/src/dispatch/DispatchFaultsTest.cpp
+++ b/src/dispatch/DispatchFaultsTest.cpp
@@ -324,4 +324,50 @@
     REQUIRE(fixture.floors.back() == 255);
 }
 
+// Guards against streams that go on at a server of another software version than the one that began them.
+TEST_CASE("a request that is bound to a software version gets servers of that version only")
+{
+    bool hasPrompt = GENERATE(false, true);
+    DispatcherFixture fixture(2, 4);
+    fixture.serverList[0].softwareVersion = SoftwareVersion("v1");
+    fixture.serverList[1].softwareVersion = SoftwareVersion("v2");
+    fixture.send(ServersChanged { fixture.serverList });
+    auto place = [&](const std::string& id, const char* version) {
+        auto request = DispatcherFixture::makePlace(id);
+        if (hasPrompt) {
+            request.prefix = { PrefixBlock(1), PrefixBlock(2) };
+            request.prefixTokens = { Tokens { 50 }, Tokens { 50 } };
+        }
+        request.softwareVersion = SoftwareVersion(version);
+        fixture.sendFromEntry(request);
+    };
+    for (int i = 0; i < 4; ++i) {
+        place("new" + std::to_string(i), "v2");
+    }
+    fixture.advance(100ms);
+    for (int i = 0; i < 4; ++i) {
+        auto id = "new" + std::to_string(i);
+        REQUIRE(fixture.grants.contains(id));
+        CHECK(fixture.grants.at(id).server == BackendServerId("s1"));
+        CHECK(fixture.grants.at(id).softwareVersion == SoftwareVersion("v2"));
+    }
+    // No slot of the version is free, so it waits although the other server is idle.
+    place("waits", "v2");
+    fixture.advance(100ms);
+    CHECK_FALSE(fixture.grants.contains("waits"));
+    CHECK_FALSE(fixture.refusals.contains("waits"));
+    fixture.finish("new0");
+    fixture.advance(100ms);
+    CHECK(fixture.grants.contains("waits"));
+    // None is left, and then none comes any more.
+    place("gone", "v0");
+    CHECK(fixture.refusals.at("gone").code == RefusalCode::VersionGone);
+    place("leaves", "v2");
+    REQUIRE_FALSE(fixture.grants.contains("leaves"));
+    REQUIRE_FALSE(fixture.refusals.contains("leaves"));
+    fixture.serverList[1].leaving = true;
+    fixture.send(ServersChanged { fixture.serverList });
+    CHECK(fixture.refusals.at("leaves").code == RefusalCode::VersionGone);
+}
+
 } // namespace lagoonspoke
--- a/src/dispatch/FallbackPlacer.cpp
+++ b/src/dispatch/FallbackPlacer.cpp
@@ -73,6 +73,14 @@
     return servers;
 }
 
+bool FallbackPlacer::lacksVersion(const PlaceRequest& place) const
+{
+    auto servers = serversOf(place.domain);
+    return !servers.empty() && std::ranges::none_of(servers, [&](const BackendServer* it) {
+        return fitsVersion(*it, place.softwareVersion);
+    });
+}
+
 bool FallbackPlacer::isLeaving(const BackendServerId& id) const
 {
     auto it = std::ranges::find(m_servers, id, &BackendServer::id);
@@ -156,8 +164,8 @@
     std::size_t slots = 0;
     for (const auto* server : serversOf(place.domain)) {
         slots += static_cast<std::size_t>(server->slots);
-        if (inFlightOn(server->id) < server->slots && !std::ranges::count(place.excluded, server->id)
-            && isWithinLimit(server->id, now)) {
+        if (fitsVersion(*server, place.softwareVersion) && inFlightOn(server->id) < server->slots
+            && !std::ranges::count(place.excluded, server->id) && isWithinLimit(server->id, now)) {
             available.push_back(server);
         }
     }
--- a/src/dispatch/FallbackPlacer.h
+++ b/src/dispatch/FallbackPlacer.h
@@ -43,6 +43,9 @@
     // Whether the server leaves, or was in an earlier list and is not in this one.
     bool isLeaving(const BackendServerId&) const;
 
+    // Whether the domain has servers that do not leave, but none that may run the request.
+    bool lacksVersion(const PlaceRequest&) const;
+
     // Counts every active grant of this instance, from a dispatcher or from local placement.
     void addInFlight(const BackendServerId&);
     void removeInFlight(const BackendServerId&);
--- a/src/dispatch/GrantScheduler.cpp
+++ b/src/dispatch/GrantScheduler.cpp
@@ -44,7 +44,7 @@
     if (const auto* state = m_state.pool.find(granted.server)) {
         m_state.actions.emplace_back(SendToEntry { granted.entry,
             Grant { granted.place.request, granted.grant, granted.server, state->server.address,
-                m_state.options.grantExpiry } });
+                m_state.options.grantExpiry, state->server.softwareVersion } });
     }
 }
 
--- a/src/dispatch/Messages.cpp
+++ b/src/dispatch/Messages.cpp
@@ -17,6 +17,8 @@
         return "quarantined";
     case RefusalCode::NoServers:
         return "no_servers";
+    case RefusalCode::VersionGone:
+        return "version_gone";
     case RefusalCode::NotOwner:
         break;
     }
--- a/src/dispatch/PlacementRouter.cpp
+++ b/src/dispatch/PlacementRouter.cpp
@@ -258,7 +258,9 @@
         }
         return;
     }
-    if (m_fallback.isLeaving(grant.server) || m_signals.refuses(grant.server, now)) {
+    // A dispatcher of an earlier release does not know the version that the request is bound to.
+    bool fits = !request.place.softwareVersion || *request.place.softwareVersion == grant.softwareVersion;
+    if (!fits || m_fallback.isLeaving(grant.server) || m_signals.refuses(grant.server, now)) {
         declineGrant(request, grant, from, now);
         return;
     }
--- a/src/dispatch/PlacementRouterRequests.cpp
+++ b/src/dispatch/PlacementRouterRequests.cpp
@@ -299,6 +299,12 @@
     if (!m_signals.empty()) {
         m_signals.addTo(request.place.excluded, m_fallback.serversOf(domainId), now);
     }
+    if (request.place.softwareVersion && m_fallback.lacksVersion(request.place)) {
+        sendToOwner(domainId, Withdraw { id, domainId });
+        m_actions.emplace_back(DeliverToThread { request.thread, Refusal { id, RefusalCode::VersionGone, {} } });
+        erase(id);
+        return;
+    }
     const auto* server = m_fallback.choose(request.place, m_placedLocally[request.place.domain], now);
     if (!server) {
         request.fallbackAt = now + m_options.fallbackRetry;
@@ -307,7 +313,8 @@
     }
     // The dispatcher may have the request in its queue although it did not acknowledge it.
     sendToOwner(request.place.domain, Withdraw { id, request.place.domain });
-    Grant grant { id, GrantId(localGrantBit | ++m_lastLocalGrant), server->id, server->address, m_options.grantExpiry };
+    Grant grant { id, GrantId(localGrantBit | ++m_lastLocalGrant), server->id, server->address, m_options.grantExpiry,
+        server->softwareVersion };
     recordGrant(request, grant, m_options.self, now);
     request.placedLocally = true;
     ++m_placedLocally[request.place.domain];
--- a/src/dispatch/PolicyDispatcher.cpp
+++ b/src/dispatch/PolicyDispatcher.cpp
@@ -175,6 +175,7 @@
     if (m_state.isWaiting(place.request)) {
         return;
     }
+    m_hasBoundRequests = m_hasBoundRequests || place.softwareVersion;
     bool revoked = m_tracker.consumeRevocation(place.request, now);
     if (const auto* granted = m_state.grants.find(place.request)) {
         if (!granted->revoked && granted->holdsSlot && place.attempt <= granted->place.attempt) {
@@ -220,6 +221,7 @@
             m_scheduler.sendGrant(*granted);
             continue;
         }
+        m_hasBoundRequests = m_hasBoundRequests || place.softwareVersion;
         m_admission.restore(resync.entry, dataCentre, place, now);
     }
 }
@@ -288,12 +290,18 @@
 
 void PolicyDispatcher::refuseWithoutServers(MonotonicTime now)
 {
-    if (!m_state.pool.isEmpty() || m_state.isSettling(now)) {
+    bool empty = m_state.pool.isEmpty();
+    if ((!empty && !m_hasBoundRequests) || m_state.isSettling(now)) {
         return;
     }
+    m_hasBoundRequests = false;
     for (auto& [tier, queue] : m_state.queues) {
-        for (const auto& request : queue.requestsWhere([](const auto&) { return true; })) {
-            m_state.drop(request, RefusalCode::NoServers, std::chrono::seconds(1));
+        auto isUnserved = [&](const WaitingRequest& it) {
+            m_hasBoundRequests = m_hasBoundRequests || it.place.softwareVersion;
+            return empty || !m_state.pool.serves(it.place.softwareVersion);
+        };
+        for (const auto& request : queue.requestsWhere(isUnserved)) {
+            m_state.drop(request, empty ? RefusalCode::NoServers : RefusalCode::VersionGone, std::chrono::seconds(1));
         }
     }
 }
--- a/src/dispatch/PolicyDispatcher.h
+++ b/src/dispatch/PolicyDispatcher.h
@@ -53,6 +53,7 @@
     Shedder m_shedder;
     GrantTracker m_tracker;
     bool m_started = false;
+    bool m_hasBoundRequests = false; // some may wait that only servers of one software version may run
     MonotonicTime m_lastRateUpdate {};
     MonotonicTime m_lastAdvance {};
     MonotonicTime m_lastSchedulerRun {};
--- a/src/dispatch/PromptPlacement.cpp
+++ b/src/dispatch/PromptPlacement.cpp
@@ -79,7 +79,7 @@
 bool PromptPlacement::isCandidate(
     const ServerState& state, const WaitingRequest& waiting, bool excludedAll, MonotonicTime now) const
 {
-    if (state.server.leaving || state.isolated) {
+    if (state.server.leaving || state.isolated || !fitsVersion(state.server, waiting.place.softwareVersion)) {
         return false;
     }
     // A prompt whose parts the stream engine has cached leaves little to read, but a burst of them would still stall
--- a/src/dispatch/ServerPool.cpp
+++ b/src/dispatch/ServerPool.cpp
@@ -137,6 +137,12 @@
     return std::ranges::none_of(m_servers, [](const auto& it) { return !it.second.server.leaving; });
 }
 
+bool ServerPool::serves(const std::optional<SoftwareVersion>& version) const
+{
+    return std::ranges::any_of(
+        m_servers, [&](const auto& it) { return !it.second.server.leaving && fitsVersion(it.second.server, version); });
+}
+
 bool ServerPool::hasAvailableServer(MonotonicTime now) const
 {
     return std::ranges::any_of(m_servers,
--- a/src/dispatch/ServerPool.h
+++ b/src/dispatch/ServerPool.h
@@ -36,6 +36,8 @@
 
     bool isUsable(const ServerState&) const;
     bool isEmpty() const;
+    // Whether a server that does not leave may run a request that is bound to the version, if to any.
+    bool serves(const std::optional<SoftwareVersion>&) const;
     // Whether any server can accept a request now, if only as a probe.
     bool hasAvailableServer(MonotonicTime now) const;
     // Slots of all usable servers, and how many of them are free.
--- a/src/dispatch/ServerSelector.cpp
+++ b/src/dispatch/ServerSelector.cpp
@@ -74,7 +74,7 @@
 
 bool ServerSelector::mayUse(const ServerState& state, const WaitingRequest& waiting, MonotonicTime now) const
 {
-    if (state.server.leaving || state.isolated) {
+    if (state.server.leaving || state.isolated || !fitsVersion(state.server, waiting.place.softwareVersion)) {
         return false;
     }
     if (state.health.isEjected()) {
@@ -95,8 +95,10 @@
 {
     ServerState* best = nullptr;
     std::tuple<bool, int, Duration> bestRank;
-    bool excludedAll = std::ranges::all_of(m_pool.servers(),
-        [&](const auto& it) { return !m_pool.isUsable(it.second) || isExcluded(it.second, waiting.place); });
+    bool excludedAll = std::ranges::all_of(m_pool.servers(), [&](const auto& it) {
+        return !m_pool.isUsable(it.second) || !fitsVersion(it.second.server, waiting.place.softwareVersion)
+            || isExcluded(it.second, waiting.place);
+    });
     if (!waiting.place.prefixTokens.empty()) {
         return m_promptPlacement.choose(waiting, excludedAll, now);
     }
@@ -121,7 +123,7 @@
     for (auto& [id, state] : m_pool.servers()) {
         // A server that is due for a probe after its death is idle, and a suspect request can serve as the probe.
         bool isUnavailable = state.health.isEjected() && !(state.isProbeDue(now) && waiting.place.idempotent);
-        if (state.server.leaving || isUnavailable) {
+        if (state.server.leaving || isUnavailable || !fitsVersion(state.server, waiting.place.softwareVersion)) {
             continue;
         }
         isolated += state.isolated ? 1 : 0;
--- a/src/entry/RequestConclusion.cpp
+++ b/src/entry/RequestConclusion.cpp
@@ -58,6 +58,9 @@
 void RequestRunner::noteCallerReached()
 {
     m_machine.handle(CallerReached {});
+    if (m_request.streamed && !m_streamVersion) {
+        m_streamVersion = m_serverVersion;
+    }
 }
 
 void RequestRunner::releaseGrant(FinishOutcome outcome)
@@ -87,6 +90,7 @@
         .add("caller_id", m_request.callerId)
         .add("attempt", m_machine.attempts())
         .add("server", m_server.value())
+        .add("software_version", m_serverVersion.value())
         .add("cause", toString(failed.cause))
         .add("server_accepts", failed.serverAccepts)
         .add("may_have_run", m_machine.runStatus() != RunStatus::NotRun)
@@ -215,6 +219,7 @@
         .add("target", m_request.targetName.value())
         .add("configuration", m_snapshot ? m_snapshot->number() : 0)
         .add("server", m_server.value())
+        .add("software_version", m_serverVersion.value())
         .add("code", m_code)
         .add("run", toString(m_run))
         .add("attempts", m_machine.attempts())
--- a/src/entry/RequestMachine.cpp
+++ b/src/entry/RequestMachine.cpp
@@ -31,6 +31,8 @@
         return CallerError::Quarantined;
     case RefusalCode::NoServers:
         return CallerError::NoServers;
+    case RefusalCode::VersionGone:
+        return CallerError::StreamVersionGone;
     case RefusalCode::Overloaded:
     case RefusalCode::NotOwner:
         break;
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -318,6 +318,7 @@
     place.waited = readMonotonicClock() - m_arrival;
     place.attempt = action.attempt;
     place.excluded = action.excluded;
+    place.softwareVersion = m_streamVersion;
     return place;
 }
 
@@ -343,6 +344,7 @@
     m_grantedAt = readMonotonicClock();
     m_sendsOnGrant = 0;
     m_server = m_grant->server;
+    m_serverVersion = m_grant->softwareVersion;
     co_return Granted { m_server };
 }
 
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -146,6 +146,9 @@
     bool m_firstByteReported = false;
     bool m_startCounted = false;
     BackendServerId m_server;
+    SoftwareVersion m_serverVersion;
+    // Of the server that began the stream, once the caller has a part of it.
+    std::optional<SoftwareVersion> m_streamVersion;
     std::string_view m_code = "ok";
     RunStatus m_run = RunStatus::Ran;
     Duration m_retryAfter {};
--- a/src/http/CallerError.h
+++ b/src/http/CallerError.h
@@ -35,6 +35,7 @@
     DeadlineTooShort,
     Quarantined,
     NoServers,
+    StreamVersionGone,
     DeadlinePassed,
     BackendUnreachable,
     BackendFailed,
--- a/src/wire/PlacementCodec.cpp
+++ b/src/wire/PlacementCodec.cpp
@@ -93,9 +93,11 @@
     auto excluded = builder.CreateVector(servers);
     auto prefixTokens = writeTokens(builder, it.prefixTokens);
     auto parts = writeHashes(builder, it.parts);
+    auto version = it.softwareVersion ? writeText(builder, it.softwareVersion->value())
+                                      : flatbuffers::Offset<flatbuffers::String>();
     return wire::CreatePlaceRequest(builder, request, domain, team, className, it.tier.level, it.promptTokens.count,
         it.outputLimit.count, prefix, it.idempotent, static_cast<std::uint64_t>(it.fingerprint), it.remaining.count(),
-        it.waited.count(), it.attempt, excluded, prefixTokens, parts);
+        it.waited.count(), it.attempt, excluded, prefixTokens, parts, version);
 }
 
 flatbuffers::Offset<wire::Progress> write(Builder& builder, const Progress& it)
@@ -152,8 +154,9 @@
     auto request = writeText(builder, it.request.value());
     auto server = writeText(builder, it.server.value());
     auto address = writeText(builder, it.address);
+    auto version = writeText(builder, it.softwareVersion.value());
     return wire::CreateGrant(
-        builder, request, static_cast<std::uint64_t>(it.grant), server, address, it.expiry.count());
+        builder, request, static_cast<std::uint64_t>(it.grant), server, address, it.expiry.count(), version);
 }
 
 flatbuffers::Offset<wire::Refusal> write(Builder& builder, const Refusal& it)
@@ -192,6 +195,9 @@
     place.remaining = readDuration(it.remaining_ns());
     place.waited = readDuration(it.waited_ns());
     place.attempt = it.attempt();
+    if (const auto* version = it.software_version()) {
+        place.softwareVersion = SoftwareVersion(toText(version));
+    }
     if (const auto* servers = it.excluded()) {
         for (const auto* server : *servers) {
             place.excluded.emplace_back(toText(server));
@@ -250,7 +256,7 @@
 std::optional<PlacementMessage> readRefusal(const wire::Refusal& it)
 {
     Refusal refusal { RequestId(toText(it.request())), {}, readDuration(it.retry_after_ns()) };
-    if (!readEnum(it.code(), RefusalCode::NotOwner, refusal.code)) {
+    if (!readEnum(it.code(), RefusalCode::VersionGone, refusal.code)) {
         return std::nullopt;
     }
     return refusal;
@@ -281,7 +287,7 @@
     case wire::PlacementBody::Grant: {
         const auto* it = packet.body_as_Grant();
         return Grant { RequestId(toText(it->request())), GrantId(it->grant()), BackendServerId(toText(it->server())),
-            toText(it->address()), readDuration(it->expiry_ns()) };
+            toText(it->address()), readDuration(it->expiry_ns()), SoftwareVersion(toText(it->software_version())) };
     }
     case wire::PlacementBody::Refusal:
         return readRefusal(*packet.body_as_Refusal());
--- a/src/wire/WireTest.cpp
+++ b/src/wire/WireTest.cpp
@@ -35,6 +35,7 @@
     place.attempt = 2;
     place.excluded = { BackendServerId("s1"), BackendServerId("s2") };
     place.parts = { Fingerprint(7), Fingerprint(~0ull) };
+    place.softwareVersion = SoftwareVersion("v2");
     return place;
 }
 
@@ -107,6 +108,7 @@
     REQUIRE(place.prefix[1] == PrefixBlock(~0ull));
     REQUIRE(place.excluded[1] == BackendServerId("s2"));
     REQUIRE(place.parts == std::vector { Fingerprint(7), Fingerprint(~0ull) });
+    REQUIRE(place.softwareVersion == SoftwareVersion("v2"));
     auto progress = std::get<Progress>(decodePlacementPacket(encodePlacementPacket(makePackets()[1]))->message);
     REQUIRE(progress.outcome == FinishOutcome::ServerDied);
     REQUIRE(progress.outputTokens.count == 6);
--- a/src/wire/placement_generated.h
+++ b/src/wire/placement_generated.h
@@ -161,7 +161,8 @@
     VT_ATTEMPT = 28,
     VT_EXCLUDED = 30,
     VT_PREFIX_TOKENS = 32,
-    VT_PARTS = 34
+    VT_PARTS = 34,
+    VT_SOFTWARE_VERSION = 36
   };
   const flatbuffers::String *request() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST);
@@ -211,6 +212,9 @@
   const flatbuffers::Vector<uint64_t> *parts() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
   }
+  const flatbuffers::String *software_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST) &&
@@ -238,6 +242,8 @@
            verifier.VerifyVector(prefix_tokens()) &&
            VerifyOffset(verifier, VT_PARTS) &&
            verifier.VerifyVector(parts()) &&
+           VerifyOffset(verifier, VT_SOFTWARE_VERSION) &&
+           verifier.VerifyString(software_version()) &&
            verifier.EndTable();
   }
 };
@@ -294,6 +300,9 @@
   void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
     fbb_.AddOffset(PlaceRequest::VT_PARTS, parts);
   }
+  void add_software_version(flatbuffers::Offset<flatbuffers::String> software_version) {
+    fbb_.AddOffset(PlaceRequest::VT_SOFTWARE_VERSION, software_version);
+  }
   explicit PlaceRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -322,13 +331,15 @@
     int32_t attempt = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
     flatbuffers::Offset<flatbuffers::Vector<int64_t>> prefix_tokens = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
+    flatbuffers::Offset<flatbuffers::String> software_version = 0) {
   PlaceRequestBuilder builder_(_fbb);
   builder_.add_waited_ns(waited_ns);
   builder_.add_remaining_ns(remaining_ns);
   builder_.add_fingerprint(fingerprint);
   builder_.add_output_limit(output_limit);
   builder_.add_prompt_tokens(prompt_tokens);
+  builder_.add_software_version(software_version);
   builder_.add_parts(parts);
   builder_.add_prefix_tokens(prefix_tokens);
   builder_.add_excluded(excluded);
@@ -360,7 +371,8 @@
     int32_t attempt = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
     const std::vector<int64_t> *prefix_tokens = nullptr,
-    const std::vector<uint64_t> *parts = nullptr) {
+    const std::vector<uint64_t> *parts = nullptr,
+    const char *software_version = nullptr) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto team__ = team ? _fbb.CreateString(team) : 0;
@@ -369,6 +381,7 @@
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
   auto prefix_tokens__ = prefix_tokens ? _fbb.CreateVector<int64_t>(*prefix_tokens) : 0;
   auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
+  auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
   return lagoonspoke::wire::CreatePlaceRequest(
       _fbb,
       request__,
@@ -386,7 +399,8 @@
       attempt,
       excluded__,
       prefix_tokens__,
-      parts__);
+      parts__,
+      software_version__);
 }
 
 struct Progress FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1013,7 +1027,8 @@
     VT_GRANT = 6,
     VT_SERVER = 8,
     VT_ADDRESS = 10,
-    VT_EXPIRY_NS = 12
+    VT_EXPIRY_NS = 12,
+    VT_SOFTWARE_VERSION = 14
   };
   const flatbuffers::String *request() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST);
@@ -1030,6 +1045,9 @@
   int64_t expiry_ns() const {
     return GetField<int64_t>(VT_EXPIRY_NS, 0);
   }
+  const flatbuffers::String *software_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST) &&
@@ -1040,6 +1058,8 @@
            VerifyOffset(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
            VerifyField<int64_t>(verifier, VT_EXPIRY_NS, 8) &&
+           VerifyOffset(verifier, VT_SOFTWARE_VERSION) &&
+           verifier.VerifyString(software_version()) &&
            verifier.EndTable();
   }
 };
@@ -1063,6 +1083,9 @@
   void add_expiry_ns(int64_t expiry_ns) {
     fbb_.AddElement<int64_t>(Grant::VT_EXPIRY_NS, expiry_ns, 0);
   }
+  void add_software_version(flatbuffers::Offset<flatbuffers::String> software_version) {
+    fbb_.AddOffset(Grant::VT_SOFTWARE_VERSION, software_version);
+  }
   explicit GrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1080,10 +1103,12 @@
     uint64_t grant = 0,
     flatbuffers::Offset<flatbuffers::String> server = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
-    int64_t expiry_ns = 0) {
+    int64_t expiry_ns = 0,
+    flatbuffers::Offset<flatbuffers::String> software_version = 0) {
   GrantBuilder builder_(_fbb);
   builder_.add_expiry_ns(expiry_ns);
   builder_.add_grant(grant);
+  builder_.add_software_version(software_version);
   builder_.add_address(address);
   builder_.add_server(server);
   builder_.add_request(request);
@@ -1096,17 +1121,20 @@
     uint64_t grant = 0,
     const char *server = nullptr,
     const char *address = nullptr,
-    int64_t expiry_ns = 0) {
+    int64_t expiry_ns = 0,
+    const char *software_version = nullptr) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto server__ = server ? _fbb.CreateString(server) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
   return lagoonspoke::wire::CreateGrant(
       _fbb,
       request__,
       grant,
       server__,
       address__,
-      expiry_ns);
+      expiry_ns,
+      software_version__);
 }
 
 struct Refusal FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
