Take a stream up only at the software version that began it

The answer is 200 and runs to its end, but continues at a worker of another software version than the one that wrote the first part.

Cause: the name of the request that brought the first event was passed on unread, and no instance knew which version had served a request of another one, or of its own earlier process. When all instances lose power at once, nothing that they remember is left, and the version's workers may have gone meanwhile, so that a starting instance sees one version only. Class of fault: a fact that a caller's next request depends on lives in the memory of processes alone.

Change: StreamOriginBook decides, StreamOriginService does the calls. The store has the versions of each target, and while there are several, a record for each instance of its streams with their versions. It is written when a stream is granted, while the server reads the prompt; streams that run when a second version appears are recorded too. A request that takes a stream up finds the version in memory or by reading the records once or twice, and is bound to it. A stream of an unknown version is refused as not run (stream_version_unknown). If the caller names none, or several requests, only a target's only version will do.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -120,6 +120,7 @@
     setKeyedAdmission(false);
     for (auto& thread : m_traffic) {
         thread->setUsageSink(m_storeServices->usageSink());
+        thread->setStreamOrigins(m_storeServices->streamOrigins());
     }
 }
 
--- a/src/daemon/StoreServices.cpp
+++ b/src/daemon/StoreServices.cpp
@@ -53,6 +53,7 @@
               const InstanceId& to, std::string payload) { m_peers.send(to, PeerChannel::Usage, std::move(payload)); },
           [this] { return m_leases.mayAct(LeaseService::usageLease()); })
     , m_demand(io, settings, peers, makeDemandCallbacks())
+    , m_streamOrigins(std::make_shared<StreamOriginService>(io, settings.instance, interfaces.store))
 {
     openConfiguration(io, interfaces);
     openFleet(io, interfaces);
@@ -65,6 +66,7 @@
     ConfigurationService::Callbacks callbacks;
     callbacks.applySnapshot = [this](SnapshotPtr snapshot) {
         m_demand.applySnapshot(snapshot);
+        m_streamOrigins->applySnapshot(snapshot);
         if (m_capacity) {
             m_capacity->applySnapshot(snapshot);
         }
@@ -182,6 +184,7 @@
         m_capacity->start();
     }
     m_usage.start();
+    m_streamOrigins->start();
     handleMembers();
 }
 
@@ -195,6 +198,7 @@
     }
     m_leases.applyMembers(m_peers.members());
     m_usage.applyMembers(m_peers.members());
+    m_streamOrigins->applyRole(m_peers.readsStore(), m_peers.members().size());
 }
 
 void StoreServices::handleRumour(const Rumour& rumour)
@@ -206,6 +210,7 @@
 
 void StoreServices::handleServers(const std::vector<BackendServer>& servers)
 {
+    m_streamOrigins->applyServers(servers);
     if (m_fleet) {
         m_fleet->applyServers(servers);
     } else if (m_capacity) {
@@ -228,6 +233,7 @@
     if (m_capacity) {
         m_capacity->stop();
     }
+    m_streamOrigins->stop();
 }
 
 UsageSink StoreServices::usageSink()
--- a/src/daemon/StoreServices.h
+++ b/src/daemon/StoreServices.h
@@ -12,6 +12,7 @@
 #include "daemon/FleetService.h"
 #include "daemon/LeaseService.h"
 #include "daemon/PeerService.h"
+#include "daemon/StreamOriginService.h"
 #include "daemon/UsageService.h"
 #include "entry/RequestRunner.h"
 
@@ -40,6 +41,7 @@
     asio::awaitable<void> stop(std::optional<MonotonicTime> processEnd);
 
     UsageSink usageSink();
+    std::shared_ptr<StreamOrigins> streamOrigins() const { return m_streamOrigins; }
 
 private:
     void changeLease(const std::string& lease, std::optional<FencingToken>);
@@ -63,6 +65,7 @@
     std::optional<FleetService> m_fleet;
     std::optional<CapacityService> m_capacity;
     DemandService m_demand;
+    std::shared_ptr<StreamOriginService> m_streamOrigins;
 };
 
 } // namespace lagoonspoke
--- a/src/daemon/TrafficThread.cpp
+++ b/src/daemon/TrafficThread.cpp
@@ -109,6 +109,12 @@
     asio::post(m_io, [this, sink = std::move(sink)]() mutable { m_service.setUsageSink(std::move(sink)); });
 }
 
+void TrafficThread::setStreamOrigins(std::shared_ptr<StreamOrigins> origins)
+{
+    asio::post(
+        m_io, [this, origins = std::move(origins)]() mutable { m_service.setStreamOrigins(std::move(origins)); });
+}
+
 void TrafficThread::setAdmitsKeys(bool admits)
 {
     asio::post(m_io, [this, admits] { m_service.setAdmitsKeys(admits); });
--- a/src/daemon/TrafficThread.h
+++ b/src/daemon/TrafficThread.h
@@ -28,6 +28,8 @@
     void deliver(DispatcherMessage);
     // The sink runs on this thread.
     void setUsageSink(UsageSink);
+    // The origins are called on this thread.
+    void setStreamOrigins(std::shared_ptr<StreamOrigins>);
     // With false, new requests that carry a key are refused, as the instance may have missed a withdrawal.
     void setAdmitsKeys(bool);
     // Begins a shutdown in which every request has its final answer by then.
--- a/src/entry/CallerService.h
+++ b/src/entry/CallerService.h
@@ -20,6 +20,7 @@
     // Whether the key of this digest still belongs to a team; true for an empty digest.
     bool isValidKey(const std::string& digest) const;
     void setUsageSink(UsageSink sink) { m_services.usageSink = std::move(sink); }
+    void setStreamOrigins(std::shared_ptr<StreamOrigins> origins) { m_services.streamOrigins = std::move(origins); }
     // With false, new requests that carry a key are refused as not_ready; running ones go on.
     void setAdmitsKeys(bool admits) { m_services.admitsKeys = admits; }
     // Begins a shutdown: from now on only requests run that are expected to end by then.
--- a/src/entry/RequestAdmission.h
+++ b/src/entry/RequestAdmission.h
@@ -41,6 +41,10 @@
     bool idempotent = true;
     // Whether a stream that broke may go on at another backend server after the last event that arrived.
     bool resumable = false;
+    // Whether the caller holds the first events of the stream and wants those after them.
+    bool takesUpStream = false;
+    // The caller's own name of the request that brought the first event; empty when the caller does not say.
+    std::string takenUpRequest;
     TargetName targetName;
     Tier tier; // of the team's requests of the class
     int rank = 0; // number of tiers that come before it
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -13,6 +13,8 @@
 
 // Delays the next attempt where the server's machine is silent.
 constexpr Duration mostDeathCheck = std::chrono::milliseconds(200);
+// Of the search for the version that began a stream: some reads of the store, as its record may still be on its way.
+constexpr Duration longestOriginSearch = std::chrono::milliseconds(400);
 
 CallerHead copyHead(const HttpExchange& exchange)
 {
@@ -281,11 +283,47 @@
     m_fingerprint = fingerprintOf(team(), m_request.target, m_body);
     startDeadline();
     watchCaller();
+    if (m_request.takesUpStream) {
+        if (auto error = co_await bindTakenUpStream()) {
+            co_return Stopped { *error };
+        }
+    }
     bool isModel = m_request.kind != RouteKind::Service;
     co_return BodyRead { m_request.idempotent, m_request.resumable, &m_services.budgets[m_domain],
         m_request.maxAttempts, isModel };
 }
 
+asio::awaitable<std::optional<CallerError>> RequestRunner::bindTakenUpStream()
+{
+    if (!m_services.streamOrigins) {
+        co_return std::nullopt;
+    }
+    // Without a name only a target's only version can be meant.
+    auto bound = m_request.takenUpRequest.empty() ? Duration(0) : std::min(longestOriginSearch, remaining() / 2);
+    auto origin = co_await m_services.streamOrigins->find(m_request.takenUpRequest, m_request.targetName, bound);
+    m_services.metrics.countStreamTakeUp(toString(origin.source));
+    LogLine(LogLevel::Info, "stream_taken_up")
+        .add("request", m_id.value())
+        .add("caller_id", m_request.callerId)
+        .add("began", m_request.takenUpRequest)
+        .add("target", m_request.targetName.value())
+        .add("software_version", origin.version.value())
+        .add("known_from", toString(origin.source));
+    if (origin.source == StreamOrigin::Source::Unknown) {
+        co_return CallerError::StreamVersionUnknown;
+    }
+    m_streamVersion = origin.version;
+    co_return std::nullopt;
+}
+
+asio::awaitable<void> RequestRunner::noteStreamGrant()
+{
+    if (m_services.streamOrigins && m_request.resumable && !m_streamVersion && !m_request.callerId.empty()) {
+        co_await m_services.streamOrigins->noteGranted(
+            m_request.callerId, m_request.targetName, m_serverVersion, remaining());
+    }
+}
+
 asio::awaitable<void> RequestRunner::respondModels()
 {
     namespace json = boost::json;
@@ -345,6 +383,7 @@
     m_sendsOnGrant = 0;
     m_server = m_grant->server;
     m_serverVersion = m_grant->softwareVersion;
+    co_await noteStreamGrant();
     co_return Granted { m_server };
 }
 
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -15,6 +15,7 @@
 #include "http/CallerWatch.h"
 #include "lagoonspoke/usage/UsageRecord.h"
 #include "observe/RequestMetrics.h"
+#include "streams/StreamOrigins.h"
 
 namespace lagoonspoke {
 
@@ -37,6 +38,8 @@
     HeldBytes heldAnswers {};
     // In a shutdown, the time by which every request has its final answer.
     std::optional<MonotonicTime> requestsEnd {};
+    // Null where no store tells of streams that other processes began.
+    std::shared_ptr<StreamOrigins> streamOrigins {};
 };
 
 // Runs one request: feeds the RequestMachine with what happens on the sockets and executes its actions.
@@ -67,6 +70,10 @@
     Next authenticate();
     Next readBody();
     Next askForGrant(AskForGrant);
+    // Binds a stream that the caller takes up to the software version that began it. Gives why it cannot go on.
+    asio::awaitable<std::optional<CallerError>> bindTakenUpStream();
+    // Makes the version of the granted server known, should the caller take the stream up elsewhere.
+    asio::awaitable<void> noteStreamGrant();
     Next openConnection(OpenConnection);
     Next sendRequest();
     Next awaitAnswer();
--- a/src/http/CallerError.cpp
+++ b/src/http/CallerError.cpp
@@ -46,6 +46,8 @@
     Entry { CallerError::DeadlineTooShort, "deadline_too_short", 503, "the request cannot be served in time" },
     Entry { CallerError::Quarantined, "quarantined", 422, "the request stopped backend servers and is quarantined" },
     Entry { CallerError::NoServers, "no_servers", 503, "no backend server serves the target" },
+    Entry { CallerError::StreamVersionUnknown, "stream_version_unknown", 503,
+        "it is not known which software version began the stream, so it cannot go on" },
     Entry { CallerError::StreamVersionGone, "stream_version_gone", 503,
         "no backend server has the software version that began the stream" },
     Entry { CallerError::DeadlinePassed, "deadline_passed", 504, "no response arrived before the deadline" },
--- a/src/http/CallerError.h
+++ b/src/http/CallerError.h
@@ -35,6 +35,7 @@
     DeadlineTooShort,
     Quarantined,
     NoServers,
+    StreamVersionUnknown,
     StreamVersionGone,
     DeadlinePassed,
     BackendUnreachable,
--- a/src/observe/RequestMetrics.cpp
+++ b/src/observe/RequestMetrics.cpp
@@ -40,6 +40,10 @@
                          .Name("lagoonspoke_stream_faults_total")
                          .Help("Streams of backend servers with bytes that are no event, by what is wrong with them.")
                          .Register(registry))
+    , m_streamTakeUps(prometheus::BuildCounter()
+                          .Name("lagoonspoke_stream_takeups_total")
+                          .Help("Streams that callers take up, by where the version that began them is known from.")
+                          .Register(registry))
 {
 }
 
@@ -79,6 +83,11 @@
     m_streamFaults.Add({ { "fault", std::string(fault) } }).Increment();
 }
 
+void RequestMetrics::countStreamTakeUp(std::string_view knownFrom)
+{
+    m_streamTakeUps.Add({ { "known_from", std::string(knownFrom) } }).Increment();
+}
+
 void RequestMetrics::countUnknown(std::string_view code)
 {
     m_outcomes.Add({ { "class", "none" }, { "team", "none" }, { "code", std::string(code) } }).Increment();
--- /dev/null
+++ b/src/streams/StreamOriginBook.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "lagoonspoke/core/Error.h"
+#include "lagoonspoke/dispatch/BackendServer.h"
+#include "streams/StreamOrigins.h"
+
+namespace lagoonspoke {
+
+// Which software versions serve each target, and which of them began the streams that callers may still take up.
+// While a target has one version, nothing is stored for its streams. From the moment that another one appears until
+// the last stream of the old one has ended, each instance keeps a record of its streams in the store, those that run
+// at that moment included. The versions themselves are always stored, so that an instance that starts knows of one
+// that left while no instance was there. Pure; owned by StreamOriginService.
+class StreamOriginBook {
+public:
+    // At least the time for which a caller may take a stream up; from the longest deadline of the configuration.
+    void setRetention(Duration);
+    void setServers(const std::vector<BackendServer>&, MonotonicTime now);
+    // Forgets what no stream needs any more.
+    void advance(MonotonicTime now);
+
+    // The versions as the store has them; an empty text where it has none. Errors: ProtocolViolation.
+    Outcome<void> takeVersions(std::string_view text, MonotonicTime now);
+    // Whether the store lacks a version, or has one that nothing needs.
+    bool areVersionsOutdated() const { return m_versionsTaken && makeVersions() != m_storedVersions; }
+    std::string makeVersions() const;
+    void noteVersionsStored(std::string text) { m_storedVersions = std::move(text); }
+    // Whether streams of more than one version may be taken up, of the target or of any.
+    bool isMixed(const TargetName&) const;
+    bool isMixed() const;
+
+    // Whether an earlier grant of the request had another version.
+    bool noteGranted(
+        const std::string& callerId, const TargetName&, const SoftwareVersion&, Duration lifetime, MonotonicTime now);
+    // Nothing if only the records in the store can tell.
+    std::optional<StreamOrigin> find(const std::string& callerId, const TargetName&, MonotonicTime now) const;
+
+    // This instance's record of its streams, of targets with several versions.
+    std::string makeRecord(MonotonicTime now) const;
+    // The record of another instance; isOwn for that of an earlier process of this one, which is carried on.
+    // Errors: ProtocolViolation.
+    Outcome<void> takeRecord(std::string_view text, bool isOwn, MonotonicTime now);
+    // Whether the record in the store lacks a stream.
+    bool isRecordOutdated() const { return m_changed > m_stored && isMixed(); }
+    // Counts the changes of the record.
+    std::uint64_t changes() const { return m_changed; }
+    void noteRecordStored(std::uint64_t changes) { m_stored = std::max(m_stored, changes); }
+    bool isRecordStored(std::uint64_t changes) const { return m_stored >= changes; }
+    // The store may have lost the record and the versions.
+    void forgetStored();
+
+private:
+    struct Stream {
+        TargetName target;
+        SoftwareVersion version;
+        MonotonicTime expires;
+        bool isOwn = true;
+    };
+    using Versions = std::map<SoftwareVersion, MonotonicTime>; // last listed then
+
+    void noteMixed(const TargetName&, bool wasMixed);
+
+    Duration m_retention = std::chrono::seconds(30);
+    std::map<TargetName, Versions> m_versions;
+    std::vector<std::pair<TargetName, SoftwareVersion>> m_listed;
+    bool m_versionsTaken = false;
+    std::string m_storedVersions;
+    absl::flat_hash_map<std::string, Stream> m_streams; // by the caller's name of the request
+    std::uint64_t m_changed = 0;
+    std::uint64_t m_stored = 0;
+};
+
+} // namespace lagoonspoke
--- /dev/null
+++ b/src/streams/StreamOrigins.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "http/Asio.h"
+#include "lagoonspoke/core/Ids.h"
+#include "lagoonspoke/core/Time.h"
+
+namespace lagoonspoke {
+
+// The software version that began a stream, and how it is known.
+struct StreamOrigin {
+    enum class Source {
+        OnlyVersion, // no other version served the target while the stream could have begun
+        Memory, // this instance granted the request, or read its record before
+        Store, // read from the record of another process
+        Unknown,
+    };
+    Source source = Source::Unknown;
+    SoftwareVersion version {}; // unless the source is Unknown
+
+    bool operator==(const StreamOrigin&) const = default;
+};
+
+std::string_view toString(StreamOrigin::Source);
+
+// Knows which software version began the streams that callers may take up at any instance. Implemented by the
+// StreamOriginService. Callable from any thread.
+class StreamOrigins {
+public:
+    virtual ~StreamOrigins() = default;
+
+    // A request that may begin a stream was granted a server of the version. The caller may take the stream up within
+    // the lifetime. Returns at once, unless an earlier grant of the request had another version: then once the store
+    // has the new one, or after a bound.
+    virtual asio::awaitable<void> noteGranted(std::string callerId, TargetName, SoftwareVersion, Duration lifetime) = 0;
+    // The version that began the stream with this request of a caller. Takes the bound at most.
+    virtual asio::awaitable<StreamOrigin> find(std::string callerId, TargetName, Duration bound) = 0;
+};
+
+} // namespace lagoonspoke
