Use a stored copy of the configuration only beside the store's document

A copy that is left from an earlier restoration was in force at each later start until the store's document came: an instance that the store turned away just then served an old configuration, and accepted keys that it lacks. Having a copy also kept an instance from asking its peers for a newer document in its first two seconds. A copy was given up after five failed writes, and stored without need when a peer's news came before the own watch.

Change: DocumentCopy has the calls. The document and the copy are used together, the higher number counts, and a copy that is not needed is removed. The document waits for the copy for one second at most. An instance asks its peers after its first read of the store whatever it has. A copy is stored only if a fresh read shows an older document, and tried again until it is there or not needed.

--- a/src/config/DocumentFollower.cpp
+++ b/src/config/DocumentFollower.cpp
@@ -79,6 +79,10 @@
 
 void DocumentFollower::take(const std::string& text, bool isFromStore, MonotonicTime now)
 {
+    if (isFromStore && !std::exchange(m_hasReadStore, true)) {
+        m_confirmsUntil = now + m_options.confirmationTime;
+        m_nextAsk = now;
+    }
     if (text == m_text || text == m_refused) {
         return;
     }
@@ -90,16 +94,13 @@
     }
     if (configuration->number <= m_number) {
         if (isFromStore && configuration->number < m_number) {
-            m_actions.emplace_back(KeepDocument { configuration->number, m_number, m_text });
+            m_actions.emplace_back(KeepDocument { configuration->number, m_number });
             if (auto peers = peersToTell(); !peers.empty()) {
                 m_actions.emplace_back(TellNumber { std::move(peers), m_number, false });
             }
         }
         return;
     }
-    if (m_number == 0 && isFromStore) {
-        m_confirmsUntil = now + m_options.confirmationTime;
-    }
     m_number = configuration->number;
     m_text = text;
     m_actions.emplace_back(ApplyDocument { ConfigurationSnapshot::Make(std::move(*configuration)) });
--- a/src/config/DocumentFollower.h
+++ b/src/config/DocumentFollower.h
@@ -70,12 +70,11 @@
     std::vector<Error> errors;
 };
 
-// The store has an older document than the one in force, as after it was restored from a copy. The newer one is in the
-// memory of instances alone, so it has to be stored again, for those that start when no other one is left.
+// The store has an older document than the one in force, as after it was restored from a copy. The newer one may be in
+// the memory of instances alone, so it has to be stored again, for those that start when no other one is left.
 struct KeepDocument {
     std::uint64_t storedNumber = 0;
     std::uint64_t number = 0;
-    std::string text;
 };
 
 using DocumentAction
@@ -109,6 +108,7 @@
     std::optional<MonotonicTime> nextWakeup() const;
 
     std::uint64_t number() const { return m_number; }
+    const std::string& text() const { return m_text; }
     // The number of a document; 0 if it cannot be read.
     std::uint64_t numberOf(std::string_view text) const;
 
@@ -139,6 +139,7 @@
     std::string m_text;
     std::string m_refused; // the last document that could not take effect
     bool m_reachable = false;
+    bool m_hasReadStore = false;
     bool m_reads = true;
     std::vector<InstanceId> m_recipients;
     std::optional<Newer> m_newer; // a number above ours that peers have
--- a/src/config/DocumentFollowerTest.cpp
+++ b/src/config/DocumentFollowerTest.cpp
@@ -198,11 +198,28 @@
     REQUIRE(kept);
     CHECK(kept->storedNumber == 6);
     CHECK(kept->number == 8);
-    CHECK(kept->text == "8");
+    CHECK(kit.follower.text() == "8");
     told = kit.find<TellNumber>();
     REQUIRE(told);
     CHECK(told->number == 8);
     CHECK(kit.follower.number() == 8);
 }
 
+// Guards against an instance that found an old copy of the document, and does not ask its peers for a newer one.
+TEST_CASE("A new instance asks its peers also when it had a document before it read the store's")
+{
+    Kit kit;
+    kit.send(DocumentPeersChanged { { peer } });
+    kit.send(DocumentStoreReachable { true });
+    kit.send(DocumentReceived { InstanceId("self"), "5" });
+    kit.advance(1s);
+    kit.send(DocumentRead { "6" });
+    auto told = kit.find<TellNumber>();
+    REQUIRE(told);
+    CHECK(std::ranges::any_of(kit.actions, [](const auto& it) {
+        const auto* tells = std::get_if<TellNumber>(&it);
+        return tells && tells->replyWanted;
+    }));
+}
+
 } // namespace lagoonspoke
--- a/src/daemon/DocumentService.cpp
+++ b/src/daemon/DocumentService.cpp
@@ -1,5 +1,6 @@
 #include "daemon/DocumentService.h"
 
+#include "daemon/DocumentCopy.h"
 #include "external/CollectionWatcher.h"
 #include "lagoonspoke/core/Digest.h"
 #include "lagoonspoke/core/Overload.h"
@@ -14,10 +15,9 @@
 // Peers exchange documents as blobs; an instance has just one, so a request needs no digest.
 const ContentDigest wantedDocument { std::string(64, '0') };
 
-// Of the reads and writes of the copy.
-constexpr Duration retryPause = std::chrono::milliseconds(200);
-// Other instances that keep the copy may come first.
-constexpr int mostKeepAttempts = 5;
+// At the start the store's document is not used before the copy was read, so that an older one is never in force; but
+// for no longer than this.
+constexpr Duration longestHold = std::chrono::seconds(1);
 
 DocumentFollower makeFollower(const InstanceId& instance, DecodeDocument decode)
 {
@@ -30,13 +30,11 @@
 } // namespace
 
 struct DocumentService::State : std::enable_shared_from_this<State> {
-    State(asio::io_context& context, Options serviceOptions, ObjectStorePtr objectStore, DecodeDocument decode,
-        ConfigurationPeers servicePeers, ConfigurationService::Callbacks serviceCallbacks)
-        : io(context)
-        , timer(context)
+    State(asio::io_context& context, Options serviceOptions, DecodeDocument decode, ConfigurationPeers servicePeers,
+        ConfigurationService::Callbacks serviceCallbacks)
+        : timer(context)
+        , holdTimer(context)
         , options(std::move(serviceOptions))
-        , copyKey("document/" + options.name)
-        , store(std::move(objectStore))
         , peers(std::move(servicePeers))
         , callbacks(std::move(serviceCallbacks))
         , follower(makeFollower(options.instance, std::move(decode)))
@@ -111,15 +109,41 @@
             .add("document", options.name)
             .add("number", it.storedNumber)
             .add("in_force", it.number);
-        if (!std::exchange(keeping, true)) {
-            asio::co_spawn(io, keep(shared_from_this(), it.number, std::move(it.text)), asio::detached);
+        copy->keep();
+    }
+
+    void takeStored(std::string text)
+    {
+        if (!std::exchange(storeRead, true) && !copyRead) {
+            holdTimer.expires_after(longestHold);
+            holdTimer.async_wait([self = shared_from_this()](error_code ec) {
+                if (!ec && !self->stopped) {
+                    self->copyRead = true;
+                    self->useStored();
+                }
+            });
         }
+        stored = std::move(text);
+        useStored();
     }
 
-    static asio::awaitable<void> keep(std::shared_ptr<State>, std::uint64_t number, std::string text);
-    // Reads the copy before the document is followed, so that an older one is never in force.
-    static asio::awaitable<void> start(std::shared_ptr<State>);
-    static asio::awaitable<void> pause(asio::io_context&);
+    // Feeds what the store has: the copy, if it is newer, and the document.
+    void useStored()
+    {
+        if (!storeRead || !copyRead) {
+            return;
+        }
+        if (auto kept = std::exchange(unusedCopy, std::nullopt)) {
+            if (kept->number > follower.numberOf(stored)) {
+                feed(DocumentReceived { options.instance, std::move(kept->text) });
+            } else {
+                copy->remove();
+            }
+        }
+        if (!stored.empty()) {
+            feed(DocumentRead { stored });
+        }
+    }
 
     void send(const InstanceId& to, const ConfigurationMessage& message) const
     {
@@ -128,87 +152,43 @@
         }
     }
 
-    asio::io_context& io;
     asio::steady_timer timer;
+    asio::steady_timer holdTimer;
     Options options;
-    std::string copyKey;
-    ObjectStorePtr store;
     ConfigurationPeers peers;
     ConfigurationService::Callbacks callbacks;
     DocumentFollower follower;
     std::unique_ptr<CollectionWatcher> watcher;
-    bool keeping = false;
+    std::unique_ptr<DocumentCopy> copy;
+    bool copyRead = false;
+    std::optional<DocumentCopy::Document> unusedCopy;
+    bool storeRead = false;
+    std::string stored; // empty where the store has no document
     bool stopped = false;
 };
 
-asio::awaitable<void> DocumentService::State::pause(asio::io_context& context)
-{
-    asio::steady_timer wait(context, retryPause);
-    co_await wait.async_wait(useTuple);
-}
-
-asio::awaitable<void> DocumentService::State::keep(std::shared_ptr<State> state, std::uint64_t number, std::string text)
-{
-    for (int i = 0; i < mostKeepAttempts && !state->stopped; ++i) {
-        auto stored = co_await state->store->get(state->copyKey);
-        if (stored && state->follower.numberOf(stored->value) >= number) {
-            break;
-        }
-        std::optional<std::uint64_t> version;
-        std::optional<Error> error;
-        if (stored) {
-            version = stored->version;
-        } else if (stored.error().code != ErrorCode::NotFound) {
-            error = stored.error();
-        }
-        if (!error) {
-            auto written = co_await state->store->write(state->copyKey, text, version);
-            error = written ? std::nullopt : std::optional(written.error());
-        }
-        LogLine(error ? LogLevel::Warning : LogLevel::Info, "configuration_copy_stored")
-            .add("document", state->options.name)
-            .add("number", number)
-            .add("error", error ? error->message : std::string());
-        if (!error) {
-            break;
-        }
-        co_await pause(state->io);
-    }
-    state->keeping = false;
-}
-
-asio::awaitable<void> DocumentService::State::start(std::shared_ptr<State> state)
-{
-    while (!state->stopped) {
-        auto copy = co_await state->store->get(state->copyKey);
-        if (copy) {
-            LogLine(LogLevel::Info, "configuration_copy_read")
-                .add("document", state->options.name)
-                .add("number", state->follower.numberOf(copy->value));
-            state->feed(DocumentReceived { state->options.instance, std::move(copy->value) });
-        }
-        if (copy || copy.error().code == ErrorCode::NotFound || copy.error().code == ErrorCode::ProtocolViolation) {
-            break;
-        }
-        co_await pause(state->io);
-    }
-    if (!state->stopped) {
-        state->watcher->start();
-    }
-}
-
 DocumentService::DocumentService(asio::io_context& io, Options options, ObjectCollectionPtr collection,
     ObjectStorePtr store, DecodeDocument decode, ConfigurationPeers peers, ConfigurationService::Callbacks callbacks)
-    : m_state(std::make_shared<State>(
-        io, options, std::move(store), std::move(decode), std::move(peers), std::move(callbacks)))
+    : m_state(std::make_shared<State>(io, options, std::move(decode), std::move(peers), std::move(callbacks)))
 {
     CollectionWatcher::Callbacks watched;
     watched.updated = [state = m_state.get()](const std::map<std::string, std::string>& items) {
         state->feed(DocumentStoreReachable { true });
-        if (auto it = items.find(state->options.name); it != items.end()) {
-            state->feed(DocumentRead { it->second });
-        }
+        auto it = items.find(state->options.name);
+        state->takeStored(it == items.end() ? std::string() : it->second);
+    };
+    DocumentCopy::Callbacks copied;
+    copied.numberOf = [state = m_state.get()](std::string_view text) { return state->follower.numberOf(text); };
+    copied.inForce = [state = m_state.get()] {
+        return DocumentCopy::Document { state->follower.number(), state->follower.text() };
+    };
+    copied.read = [state = m_state.get()](std::optional<DocumentCopy::Document> document) {
+        state->copyRead = true;
+        state->unusedCopy = std::move(document);
+        state->useStored();
     };
+    m_state->copy
+        = std::make_unique<DocumentCopy>(io, m_state->options.name, collection, std::move(store), std::move(copied));
     watched.reachable = [state = m_state.get()](bool reachable) { state->feed(DocumentStoreReachable { reachable }); };
     m_state->watcher = std::make_unique<CollectionWatcher>(
         io, "configuration", std::move(collection), options.follower, std::move(watched));
@@ -221,7 +201,8 @@
 
 void DocumentService::start()
 {
-    asio::co_spawn(m_state->io, State::start(m_state), asio::detached);
+    m_state->copy->start();
+    m_state->watcher->start();
     m_state->scheduleWakeup();
 }
 
@@ -229,6 +210,8 @@
 {
     m_state->stopped = true;
     m_state->timer.cancel();
+    m_state->holdTimer.cancel();
+    m_state->copy->stop();
     m_state->watcher->stop();
 }
 
