--- a/src/dispatch/FallbackPlacer.cpp
+++ b/src/dispatch/FallbackPlacer.cpp
@@ -73,6 +73,12 @@
     return servers;
 }
 
+SoftwareVersion FallbackPlacer::versionOf(const BackendServerId& id) const
+{
+    auto it = std::ranges::find(m_servers, id, &BackendServer::id);
+    return it == m_servers.end() ? SoftwareVersion() : it->softwareVersion;
+}
+
 bool FallbackPlacer::lacksVersion(const PlaceRequest& place) const
 {
     auto servers = serversOf(place.domain);
--- a/src/dispatch/FallbackPlacer.h
+++ b/src/dispatch/FallbackPlacer.h
@@ -43,6 +43,8 @@
     // Whether the server leaves, or was in an earlier list and is not in this one.
     bool isLeaving(const BackendServerId&) const;
 
+    // Empty for a server that is not listed.
+    SoftwareVersion versionOf(const BackendServerId&) const;
     // Whether the domain has servers that do not leave, but none that may run the request.
     bool lacksVersion(const PlaceRequest&) const;
 
--- a/src/dispatch/PlacementRouter.cpp
+++ b/src/dispatch/PlacementRouter.cpp
@@ -242,8 +242,12 @@
         message);
 }
 
-void PlacementRouter::handleGrant(const InstanceId& from, const DomainId& id, const Grant& grant, MonotonicTime now)
+void PlacementRouter::handleGrant(const InstanceId& from, const DomainId& id, Grant grant, MonotonicTime now)
 {
+    if (grant.softwareVersion.empty()) {
+        // A dispatcher of an earlier release does not tell it.
+        grant.softwareVersion = m_fallback.versionOf(grant.server);
+    }
     auto& domain = domainOf(id);
     markResponsive(from, domain, now);
     auto it = m_requests.find(grant.request);
@@ -258,7 +262,7 @@
         }
         return;
     }
-    // A dispatcher of an earlier release does not know the version that the request is bound to.
+    // Nor does it know the version that the request is bound to.
     bool fits = !request.place.softwareVersion || *request.place.softwareVersion == grant.softwareVersion;
     if (!fits || m_fallback.isLeaving(grant.server) || m_signals.refuses(grant.server, now)) {
         declineGrant(request, grant, from, now);
--- a/src/dispatch/PlacementRouter.h
+++ b/src/dispatch/PlacementRouter.h
@@ -145,7 +145,7 @@
     void handlePeerMessage(const PeerMessage&, MonotonicTime now);
     void handleEntryMessage(const InstanceId& from, const DomainId&, EntryMessage, MonotonicTime now);
     void handleDispatcherMessage(const InstanceId& from, const DomainId&, const DispatcherMessage&, MonotonicTime now);
-    void handleGrant(const InstanceId& from, const DomainId&, const Grant&, MonotonicTime now);
+    void handleGrant(const InstanceId& from, const DomainId&, Grant, MonotonicTime now);
     void handleRefusal(const InstanceId& from, const DomainId&, const Refusal&, MonotonicTime now);
     void handleMembersUpdated(const std::vector<Member>&, MonotonicTime now);
     void handlePeerLost(const InstanceId&, MonotonicTime now);
