Answer a taken-up stream only from what was read after it came

ORDER could still break: - A record that was read for another stream answered for good, though a request may be granted a server of another version until its stream begins. - A request was sent to a server of another version after 300 ms although the store still had the earlier one. - One listed version was taken for the only one although this instance's list may be behind, and a new version's first streams could run before it was stored. - A stream of another target went on at the only version of this one. - The time for which versions count shrank at once with a shorter deadline. And: the bound of a search was not kept while a read ran; a failed read counted; the first record after a restart or a roll-out took several calls and a pause; records of live instances were removed by others; with the store away at the start, nothing was forgotten and each target counted as unknown for good if the object could not be read.

Change: a request of another instance is answered from one read of versions and records that begins after it came, shared by those that wait. A grant of another version is given back unless the record is stored. A version that is not stored is written at once by whoever is granted a server of it. Each instance removes its own record, and those of instances that are gone are removed by the keepers of the versions. What is known at another target is refused. A shorter retention waits for the longer one. Only a request with an earlier grant of another version waits for the control thread.

The sequences themselves were not played.

--- a/src/daemon/StoreServices.cpp
+++ b/src/daemon/StoreServices.cpp
@@ -198,7 +198,7 @@
     }
     m_leases.applyMembers(m_peers.members());
     m_usage.applyMembers(m_peers.members());
-    m_streamOrigins->applyRole(m_peers.readsStore(), m_peers.members().size());
+    m_streamOrigins->applyRole(m_peers.readsStore(), m_peers.members());
 }
 
 void StoreServices::handleRumour(const Rumour& rumour)
--- a/src/daemon/StreamOriginService.cpp
+++ b/src/daemon/StreamOriginService.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 
 #include <fmt/format.h>
 
@@ -14,6 +15,7 @@
 
 using namespace std::chrono_literals;
 
+constexpr std::string_view commonPrefix = "origins/";
 constexpr std::string_view versionsKey = "origins/versions";
 constexpr std::string_view recordPrefix = "origins/streams/";
 
@@ -25,8 +27,9 @@
 constexpr Duration failedWritePause = 200ms;
 // A stream's record may be written a moment after its first event.
 constexpr Duration searchInterval = 150ms;
+constexpr Duration shortestSearch = 400ms;
 // A request that is sent to another version after its first attempt waits this long for the record that says so.
-constexpr Duration longestRecordWait = 300ms;
+constexpr Duration shortestRecordWait = 300ms;
 // A deadline ends the caller's wait; its next attempt may have been sent just before.
 constexpr Duration retentionMargin = 2s;
 // The instances that keep the versions see a new one at the same moment.
@@ -37,7 +40,7 @@
 struct StreamOriginService::State : std::enable_shared_from_this<State> {
     State(asio::io_context& context, const InstanceId& instance, ObjectStorePtr objectStore)
         : io(context)
-        , key(fmt::format("{}{}", recordPrefix, instance.value()))
+        , key(recordKeyOf(instance))
         , store(std::move(objectStore))
         , tick(context)
         , readDone(context, asio::steady_timer::time_point::max())
@@ -45,13 +48,18 @@
     {
     }
 
+    static std::string recordKeyOf(const InstanceId& instance)
+    {
+        return fmt::format("{}{}", recordPrefix, instance.value());
+    }
+
     static asio::awaitable<void> run(std::shared_ptr<State>);
-    static asio::awaitable<void> readVersions(std::shared_ptr<State>);
-    static asio::awaitable<void> writeVersions(std::shared_ptr<State>);
+    static asio::awaitable<void> writeVersions(std::shared_ptr<State>, bool urgent);
     static asio::awaitable<void> writeRecords(std::shared_ptr<State>);
-    static asio::awaitable<void> readRecords(std::shared_ptr<State>);
-    static asio::awaitable<void> removeRecords(std::shared_ptr<State>);
-    static asio::awaitable<void> note(
+    static asio::awaitable<void> readAll(std::shared_ptr<State>);
+    static asio::awaitable<void> removeOrphans(std::shared_ptr<State>);
+    static asio::awaitable<void> removeOwnRecord(std::shared_ptr<State>);
+    static asio::awaitable<bool> note(
         std::shared_ptr<State>, std::string callerId, TargetName, SoftwareVersion, Duration lifetime);
     static asio::awaitable<StreamOrigin> search(
         std::shared_ptr<State>, std::string callerId, TargetName, Duration bound);
@@ -60,11 +68,13 @@
     void update();
     asio::awaitable<void> pause(Duration);
     asio::awaitable<bool> takeVersions();
+    // Gives whether to write again at once.
     asio::awaitable<bool> writeRecord();
-    asio::awaitable<void> awaitRecords();
+    // Wakes those that wait on the timer at this time.
+    void wakeAt(MonotonicTime, asio::steady_timer State::*timer);
     Duration writeInterval() const
     {
-        return std::max(shortestWriteInterval, writeIntervalPerInstance * static_cast<Duration::rep>(instances));
+        return std::max(shortestWriteInterval, writeIntervalPerInstance * static_cast<Duration::rep>(members.size()));
     }
 
     asio::io_context& io;
@@ -75,17 +85,19 @@
     asio::steady_timer tick;
     asio::steady_timer readDone; // wakes those that wait for it when it is cancelled
     asio::steady_timer writeDone;
-    std::size_t instances = 1;
+    std::set<std::string> members; // the keys of their records
     bool keepsVersions = true;
+    bool versionsTaken = false;
     bool writesVersions = false;
     bool writesRecords = false;
-    bool readsRecords = false;
+    bool removesRecord = false;
+    bool reads = false;
     bool stopped = false;
     std::optional<std::uint64_t> versionsVersion;
     std::optional<std::uint64_t> recordVersion;
     MonotonicTime lastWrite {};
     std::uint64_t readsWanted = 0;
-    std::uint64_t readsDone = 0;
+    std::uint64_t readsDone = 0; // successful ones, by the number that was wanted when they began
     std::uint64_t restorations = 0;
 };
 
@@ -95,10 +107,19 @@
     co_await timer.async_wait(useTuple);
 }
 
+void StreamOriginService::State::wakeAt(MonotonicTime time, asio::steady_timer State::*waiting)
+{
+    auto timer = std::make_shared<asio::steady_timer>(io, std::max(Duration(0), time - readMonotonicClock()));
+    timer->async_wait([self = shared_from_this(), timer, waiting](error_code) { (self.get()->*waiting).cancel(); });
+}
+
 asio::awaitable<void> StreamOriginService::State::run(std::shared_ptr<State> state)
 {
-    co_await readVersions(state);
     while (!state->stopped) {
+        if (!state->versionsTaken) {
+            // Until the versions of earlier processes are known, none counts as the only one.
+            state->versionsTaken = co_await state->takeVersions();
+        }
         state->book.advance(readMonotonicClock());
         if (std::exchange(state->restorations, state->store->restorations()) != state->restorations) {
             state->book.forgetStored();
@@ -114,49 +135,46 @@
     if (stopped) {
         return;
     }
-    if (book.isRecordOutdated() && !std::exchange(writesRecords, true)) {
+    if (book.isRecordOutdated() && !removesRecord && !std::exchange(writesRecords, true)) {
         asio::co_spawn(io, writeRecords(shared_from_this()), asio::detached);
     }
     if (keepsVersions && book.areVersionsOutdated() && !std::exchange(writesVersions, true)) {
-        asio::co_spawn(io, writeVersions(shared_from_this()), asio::detached);
+        asio::co_spawn(io, writeVersions(shared_from_this(), false), asio::detached);
+    }
+    // With one version left of each target, no record is needed any more.
+    if (recordVersion && !book.isMixed() && !writesRecords && !std::exchange(removesRecord, true)) {
+        asio::co_spawn(io, removeOwnRecord(shared_from_this()), asio::detached);
     }
 }
 
 asio::awaitable<bool> StreamOriginService::State::takeVersions()
 {
     auto stored = co_await store->get(std::string(versionsKey));
-    if (!stored && stored.error().code != ErrorCode::NotFound) {
+    bool isUnreadable = !stored && stored.error().code == ErrorCode::ProtocolViolation;
+    if (!stored && !isUnreadable && stored.error().code != ErrorCode::NotFound) {
         co_return false;
     }
     versionsVersion = stored ? std::optional(stored->version) : std::nullopt;
     auto now = readMonotonicClock();
-    if (auto taken = book.takeVersions(stored ? stored->value : std::string(), now); !taken) {
-        LogLine(LogLevel::Error, "software_versions_unreadable").add("reason", taken.error().message);
-        // It is replaced by what this instance knows.
+    auto taken = book.takeVersions(stored ? stored->value : std::string(), now);
+    if (!taken || isUnreadable) {
+        LogLine(LogLevel::Error, "software_versions_unreadable")
+            .add("reason", taken ? stored.error().message : taken.error().message);
+        // They are replaced by what this instance knows.
         co_return book.takeVersions({}, now).has_value();
     }
     co_return true;
 }
 
-// Until the versions of earlier processes are known, each target counts as having several.
-asio::awaitable<void> StreamOriginService::State::readVersions(std::shared_ptr<State> state)
+asio::awaitable<void> StreamOriginService::State::writeVersions(std::shared_ptr<State> state, bool urgent)
 {
-    bool taken = false;
-    while (!state->stopped && !taken) {
-        taken = co_await state->takeVersions();
-        if (!taken) {
-            co_await state->pause(tickInterval);
-        }
+    if (!urgent) {
+        std::uniform_int_distribution<Duration::rep> delay(0, mostVersionsDelay.count());
+        co_await state->pause(Duration(delay(state->random)));
     }
-}
-
-asio::awaitable<void> StreamOriginService::State::writeVersions(std::shared_ptr<State> state)
-{
-    std::uniform_int_distribution<Duration::rep> delay(0, mostVersionsDelay.count());
-    co_await state->pause(Duration(delay(state->random)));
-    bool isReplaced = state->versionsVersion.has_value();
     bool taken = co_await state->takeVersions();
     if (taken && state->book.areVersionsOutdated()) {
+        bool isReplaced = state->versionsVersion.has_value();
         auto text = state->book.makeVersions();
         auto written = co_await state->store->write(std::string(versionsKey), text, state->versionsVersion);
         LogLine(written ? LogLevel::Info : LogLevel::Warning, "software_versions_stored")
@@ -166,37 +184,46 @@
             state->versionsVersion = *written;
             state->book.noteVersionsStored(std::move(text));
             if (isReplaced && !state->book.isMixed()) {
-                co_await removeRecords(state);
+                co_await removeOrphans(state);
             }
         }
     }
     state->writesVersions = false;
 }
 
-// With one version left of each target, no record is needed any more, whoever wrote it.
-asio::awaitable<void> StreamOriginService::State::removeRecords(std::shared_ptr<State> state)
+// The records of instances that are gone; each of the others removes its own.
+asio::awaitable<void> StreamOriginService::State::removeOrphans(std::shared_ptr<State> state)
 {
     auto records = co_await state->store->list(std::string(recordPrefix));
     for (std::size_t i = 0; records && i < records->size() && !state->stopped && !state->book.isMixed(); ++i) {
-        co_await state->store->remove(records->at(i).key, records->at(i).version);
-        co_await state->pause(writeIntervalPerInstance);
+        const auto& record = records->at(i);
+        if (!state->members.contains(record.key)) {
+            co_await state->store->remove(record.key, record.version);
+            co_await state->pause(writeIntervalPerInstance);
+        }
     }
 }
 
+asio::awaitable<void> StreamOriginService::State::removeOwnRecord(std::shared_ptr<State> state)
+{
+    co_await state->store->remove(state->key, *state->recordVersion);
+    // If it is still there, the next write finds that out.
+    state->recordVersion.reset();
+    state->removesRecord = false;
+    state->update();
+}
+
 asio::awaitable<void> StreamOriginService::State::writeRecords(std::shared_ptr<State> state)
 {
+    bool again = false;
     while (!state->stopped && state->book.isRecordOutdated()) {
-        auto due = state->lastWrite + state->writeInterval();
+        auto due = again ? MonotonicTime() : state->lastWrite + state->writeInterval();
         if (auto now = readMonotonicClock(); now < due) {
             co_await state->pause(due - now);
         }
         state->lastWrite = readMonotonicClock();
-        auto changes = state->book.changes();
-        bool written = co_await state->writeRecord();
-        if (written) {
-            state->book.noteRecordStored(changes);
-            state->writeDone.cancel();
-        } else {
+        again = co_await state->writeRecord();
+        if (!again && state->book.isRecordOutdated()) {
             co_await state->pause(failedWritePause);
         }
     }
@@ -205,102 +232,107 @@
 
 asio::awaitable<bool> StreamOriginService::State::writeRecord()
 {
-    auto value = book.makeRecord(readMonotonicClock());
-    auto written = co_await store->write(key, std::move(value), recordVersion);
+    auto changes = book.changes();
+    auto written = co_await store->write(key, book.makeRecord(readMonotonicClock()), recordVersion);
     if (written) {
         recordVersion = *written;
-        co_return true;
+        book.noteRecordStored(changes);
+        writeDone.cancel();
+        // Streams that were granted meanwhile go with the next write, in its time.
+        co_return false;
     }
     LogLine(LogLevel::Warning, "stream_record_not_stored").add("key", key).add("error", written.error().message);
     // An earlier process of this instance wrote the record, or the answer to a write of this one was lost.
     auto stored = co_await store->get(key);
-    if (stored) {
-        recordVersion = stored->version;
-        if (auto taken = book.takeRecord(stored->value, true, readMonotonicClock()); !taken) {
-            LogLine(LogLevel::Error, "stream_record_unreadable").add("key", key).add("reason", taken.error().message);
-        }
-    } else if (stored.error().code == ErrorCode::NotFound) {
-        recordVersion.reset();
+    if (!stored) {
+        bool isGone = stored.error().code == ErrorCode::NotFound;
+        recordVersion = isGone ? std::nullopt : recordVersion;
+        co_return isGone;
     }
-    co_return false;
-}
-
-asio::awaitable<void> StreamOriginService::State::readRecords(std::shared_ptr<State> state)
-{
-    while (state->readsDone < state->readsWanted && !state->stopped) {
-        auto wanted = state->readsWanted;
-        auto records = co_await state->store->list(std::string(recordPrefix));
-        if (!records) {
-            LogLine(LogLevel::Warning, "stream_records_unread").add("error", records.error().message);
-        }
-        for (std::size_t i = 0; records && i < records->size(); ++i) {
-            const auto& record = records->at(i);
-            auto taken = state->book.takeRecord(record.value.value_or(""), false, readMonotonicClock());
-            if (!taken) {
-                LogLine(LogLevel::Error, "stream_record_unreadable")
-                    .add("key", record.key)
-                    .add("reason", taken.error().message);
-            }
-        }
-        state->readsDone = wanted;
-        state->readDone.cancel();
+    recordVersion = stored->version;
+    if (auto taken = book.takeRecord(stored->value, true, readMonotonicClock()); !taken) {
+        LogLine(LogLevel::Error, "stream_record_unreadable").add("key", key).add("reason", taken.error().message);
     }
-    state->readsRecords = false;
+    co_return true;
 }
 
-// Waits for a read of all records that begins after this call.
-asio::awaitable<void> StreamOriginService::State::awaitRecords()
+// Reads the versions and all records for those that wait.
+asio::awaitable<void> StreamOriginService::State::readAll(std::shared_ptr<State> state)
 {
-    auto wanted = ++readsWanted;
-    if (!std::exchange(readsRecords, true)) {
-        asio::co_spawn(io, readRecords(shared_from_this()), asio::detached);
+    auto wanted = state->readsWanted;
+    auto objects = co_await state->store->list(std::string(commonPrefix));
+    if (!objects) {
+        LogLine(LogLevel::Warning, "stream_records_unread").add("error", objects.error().message);
+    }
+    auto now = readMonotonicClock();
+    for (std::size_t i = 0; objects && i < objects->size(); ++i) {
+        const auto& object = objects->at(i);
+        auto text = object.value.value_or("");
+        auto taken = object.key == versionsKey ? state->book.takeVersions(text, now)
+                                               : state->book.takeRecord(text, false, now);
+        if (!taken) {
+            LogLine(LogLevel::Error, "stream_record_unreadable")
+                .add("key", object.key)
+                .add("reason", taken.error().message);
+        }
     }
-    while (readsDone < wanted && !stopped) {
-        co_await readDone.async_wait(useTuple);
+    if (objects) {
+        state->readsDone = wanted;
     }
+    state->reads = false;
+    state->readDone.cancel();
 }
 
 asio::awaitable<StreamOrigin> StreamOriginService::State::search(
     std::shared_ptr<State> state, std::string callerId, TargetName target, Duration bound)
 {
-    auto end = readMonotonicClock() + bound;
-    bool hasRead = false;
-    while (!state->stopped) {
-        if (auto known = state->book.find(callerId, target, readMonotonicClock())) {
-            bool isRecord = hasRead && known->source == StreamOrigin::Source::Memory;
-            co_return StreamOrigin { isRecord ? StreamOrigin::Source::Store : known->source, known->version };
-        }
-        if (hasRead) {
-            co_await state->pause(searchInterval);
+    auto end = readMonotonicClock() + std::min(bound, std::max(shortestSearch, 2 * state->writeInterval()));
+    if (auto known = state->book.findOwn(callerId, target, readMonotonicClock())) {
+        co_return *known;
+    }
+    state->wakeAt(end, &State::readDone);
+    while (!state->stopped && readMonotonicClock() < end) {
+        // A read that began before does not count.
+        auto wanted = ++state->readsWanted;
+        while (!state->stopped && state->readsDone < wanted && readMonotonicClock() < end) {
+            if (!std::exchange(state->reads, true)) {
+                asio::co_spawn(state->io, readAll(state), asio::detached);
+            }
+            co_await state->readDone.async_wait(useTuple);
         }
-        if (readMonotonicClock() >= end) {
-            break;
+        if (state->readsDone >= wanted) {
+            auto origin = state->book.findRead(callerId, target, readMonotonicClock());
+            bool isFinal = callerId.empty() || !state->book.isMixed(target);
+            if (origin.source != StreamOrigin::Source::Unknown || isFinal) {
+                co_return origin;
+            }
         }
-        co_await state->awaitRecords();
-        hasRead = true;
+        co_await state->pause(searchInterval);
     }
     co_return StreamOrigin();
 }
 
-asio::awaitable<void> StreamOriginService::State::note(
+asio::awaitable<bool> StreamOriginService::State::note(
     std::shared_ptr<State> state, std::string callerId, TargetName target, SoftwareVersion version, Duration lifetime)
 {
     auto now = readMonotonicClock();
     bool changed = state->book.noteGranted(callerId, target, version, lifetime, now);
     state->update();
+    // The first streams of a version must not be the only trace of it.
+    if (state->versionsTaken && !state->book.isVersionStored(target, version)
+        && !std::exchange(state->writesVersions, true)) {
+        asio::co_spawn(state->io, writeVersions(state, true), asio::detached);
+    }
     if (!changed || !state->book.isMixed(target)) {
-        co_return;
+        co_return true;
     }
     auto changes = state->book.changes();
-    asio::steady_timer end(state->io, longestRecordWait);
-    end.async_wait([state](error_code ec) {
-        if (!ec) {
-            state->writeDone.cancel();
-        }
-    });
-    while (!state->book.isRecordStored(changes) && !state->stopped && readMonotonicClock() < now + longestRecordWait) {
+    auto end = now + std::min(lifetime / 2, std::max(shortestRecordWait, 2 * state->writeInterval()));
+    state->wakeAt(end, &State::writeDone);
+    while (!state->book.isRecordStored(changes) && !state->stopped && readMonotonicClock() < end) {
         co_await state->writeDone.async_wait(useTuple);
     }
+    co_return state->book.isRecordStored(changes);
 }
 
 StreamOriginService::StreamOriginService(asio::io_context& io, const InstanceId& instance, ObjectStorePtr store)
@@ -333,7 +365,7 @@
     for (const auto& [name, spec] : snapshot->configuration().classes) {
         longest = std::max(longest, spec.deadline);
     }
-    m_state->book.setRetention(longest + retentionMargin);
+    m_state->book.setRetention(longest + retentionMargin, readMonotonicClock());
 }
 
 void StreamOriginService::applyServers(const std::vector<BackendServer>& servers)
@@ -342,16 +374,19 @@
     m_state->update();
 }
 
-void StreamOriginService::applyRole(bool keepsVersions, std::size_t instances)
+void StreamOriginService::applyRole(bool keepsVersions, const std::vector<Member>& members)
 {
     m_state->keepsVersions = keepsVersions;
-    m_state->instances = std::max<std::size_t>(instances, 1);
+    m_state->members.clear();
+    for (const auto& member : members) {
+        m_state->members.insert(State::recordKeyOf(member.id));
+    }
 }
 
-asio::awaitable<void> StreamOriginService::noteGranted(
+asio::awaitable<bool> StreamOriginService::noteGranted(
     std::string callerId, TargetName target, SoftwareVersion version, Duration lifetime)
 {
-    co_await asio::co_spawn(m_state->io,
+    co_return co_await asio::co_spawn(m_state->io,
         State::note(m_state, std::move(callerId), std::move(target), std::move(version), lifetime),
         asio::use_awaitable);
 }
--- a/src/daemon/StreamOriginService.h
+++ b/src/daemon/StreamOriginService.h
@@ -6,6 +6,7 @@
 #include "external/ObjectStore.h"
 #include "lagoonspoke/config/ConfigurationSnapshot.h"
 #include "lagoonspoke/dispatch/BackendServer.h"
+#include "lagoonspoke/membership/Member.h"
 #include "streams/StreamOrigins.h"
 
 namespace lagoonspoke {
@@ -24,10 +25,10 @@
     void applySnapshot(const SnapshotPtr&);
     // The whole list of backend servers.
     void applyServers(const std::vector<BackendServer>&);
-    // Whether this instance keeps the list of versions, which is one for all, and how many instances there are.
-    void applyRole(bool keepsVersions, std::size_t instances);
+    // Whether this instance keeps the list of versions, which is one for all, and the instances there are.
+    void applyRole(bool keepsVersions, const std::vector<Member>&);
 
-    asio::awaitable<void> noteGranted(std::string callerId, TargetName, SoftwareVersion, Duration lifetime) override;
+    asio::awaitable<bool> noteGranted(std::string callerId, TargetName, SoftwareVersion, Duration lifetime) override;
     asio::awaitable<StreamOrigin> find(std::string callerId, TargetName, Duration bound) override;
 
 private:
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -13,8 +13,6 @@
 
 // Delays the next attempt where the server's machine is silent.
 constexpr Duration mostDeathCheck = std::chrono::milliseconds(200);
-// Of the search for the version that began a stream: some reads of the store, as its record may still be on its way.
-constexpr Duration longestOriginSearch = std::chrono::milliseconds(400);
 
 CallerHead copyHead(const HttpExchange& exchange)
 {
@@ -298,9 +296,8 @@
     if (!m_services.streamOrigins) {
         co_return std::nullopt;
     }
-    // Without a name only a target's only version can be meant.
-    auto bound = m_request.takenUpRequest.empty() ? Duration(0) : std::min(longestOriginSearch, remaining() / 2);
-    auto origin = co_await m_services.streamOrigins->find(m_request.takenUpRequest, m_request.targetName, bound);
+    auto origin
+        = co_await m_services.streamOrigins->find(m_request.takenUpRequest, m_request.targetName, remaining() / 2);
     m_services.metrics.countStreamTakeUp(toString(origin.source));
     LogLine(LogLevel::Info, "stream_taken_up")
         .add("request", m_id.value())
@@ -316,12 +313,19 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<void> RequestRunner::noteStreamGrant()
+asio::awaitable<bool> RequestRunner::noteStreamGrant()
 {
-    if (m_services.streamOrigins && m_request.resumable && !m_streamVersion && !m_request.callerId.empty()) {
-        co_await m_services.streamOrigins->noteGranted(
-            m_request.callerId, m_request.targetName, m_serverVersion, remaining());
+    if (!m_services.streamOrigins || !m_request.resumable || m_streamVersion || m_request.callerId.empty()) {
+        co_return true;
     }
+    auto noted
+        = m_services.streamOrigins->noteGranted(m_request.callerId, m_request.targetName, m_serverVersion, remaining());
+    auto before = std::exchange(m_notedVersion, m_serverVersion);
+    if (before && *before != m_serverVersion) {
+        co_return co_await std::move(noted);
+    }
+    asio::co_spawn(m_exchange.socket().get_executor(), std::move(noted), asio::detached);
+    co_return true;
 }
 
 asio::awaitable<void> RequestRunner::respondModels()
@@ -383,7 +387,11 @@
     m_sendsOnGrant = 0;
     m_server = m_grant->server;
     m_serverVersion = m_grant->softwareVersion;
-    co_await noteStreamGrant();
+    bool mayBeSent = co_await noteStreamGrant();
+    if (!mayBeSent) {
+        releaseGrant(FinishOutcome::Aborted);
+        co_return PlacementRefused { RefusalCode::Overloaded };
+    }
     co_return Granted { m_server };
 }
 
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -72,8 +72,9 @@
     Next askForGrant(AskForGrant);
     // Binds a stream that the caller takes up to the software version that began it. Gives why it cannot go on.
     asio::awaitable<std::optional<CallerError>> bindTakenUpStream();
-    // Makes the version of the granted server known, should the caller take the stream up elsewhere.
-    asio::awaitable<void> noteStreamGrant();
+    // Makes the version of the granted server known, should the caller take the stream up elsewhere. False if that
+    // failed and an earlier grant had another version.
+    asio::awaitable<bool> noteStreamGrant();
     Next openConnection(OpenConnection);
     Next sendRequest();
     Next awaitAnswer();
@@ -154,6 +155,7 @@
     bool m_startCounted = false;
     BackendServerId m_server;
     SoftwareVersion m_serverVersion;
+    std::optional<SoftwareVersion> m_notedVersion; // of the latest grant that the stream may begin on
     // Of the server that began the stream, once the caller has a part of it.
     std::optional<SoftwareVersion> m_streamVersion;
     std::string_view m_code = "ok";
--- a/src/streams/StreamOriginBook.cpp
+++ b/src/streams/StreamOriginBook.cpp
@@ -35,9 +35,13 @@
 
 } // namespace
 
-void StreamOriginBook::setRetention(Duration retention)
+void StreamOriginBook::setRetention(Duration retention, MonotonicTime now)
 {
-    m_retention = retention;
+    if (!m_setRetention || retention >= m_retention) {
+        m_retention = retention;
+    }
+    m_setRetention = retention;
+    m_shrinksAt = now + m_retention;
 }
 
 void StreamOriginBook::setServers(const std::vector<BackendServer>& servers, MonotonicTime now)
@@ -54,6 +58,9 @@
 
 void StreamOriginBook::advance(MonotonicTime now)
 {
+    if (m_setRetention && now >= m_shrinksAt) {
+        m_retention = *m_setRetention;
+    }
     for (const auto& [target, version] : m_listed) {
         bool wasMixed = isMixed(target);
         m_versions[target][version] = now;
@@ -145,18 +152,38 @@
     return changed;
 }
 
-std::optional<StreamOrigin> StreamOriginBook::find(
+bool StreamOriginBook::isVersionStored(const TargetName& target, const SoftwareVersion& version) const
+{
+    auto stored = parseJson(m_storedVersions);
+    const auto* targets = stored ? stored->if_object() : nullptr;
+    const auto* versions = targets ? targets->if_contains(target.value()) : nullptr;
+    return versions && versions->is_array()
+        && std::ranges::count(versions->get_array(), json::value(version.value())) > 0;
+}
+
+std::optional<StreamOrigin> StreamOriginBook::findOwn(
     const std::string& callerId, const TargetName& target, MonotonicTime now) const
 {
-    if (auto it = m_streams.find(callerId);
-        it != m_streams.end() && it->second.target == target && it->second.expires >= now) {
-        return StreamOrigin { StreamOrigin::Source::Memory, it->second.version };
+    auto it = m_streams.find(callerId);
+    if (it == m_streams.end() || !it->second.isOwn || it->second.expires < now) {
+        return std::nullopt;
+    }
+    // A route that now leads to another target does not bring the stream there.
+    return it->second.target == target ? StreamOrigin { StreamOrigin::Source::Memory, it->second.version }
+                                       : StreamOrigin();
+}
+
+StreamOrigin StreamOriginBook::findRead(const std::string& callerId, const TargetName& target, MonotonicTime now) const
+{
+    if (auto it = m_streams.find(callerId); it != m_streams.end() && it->second.expires >= now) {
+        return it->second.target == target ? StreamOrigin { StreamOrigin::Source::Store, it->second.version }
+                                           : StreamOrigin();
     }
     auto versions = m_versions.find(target);
     if (m_versionsTaken && versions != m_versions.end() && versions->second.size() == 1) {
-        return StreamOrigin { StreamOrigin::Source::OnlyVersion, versions->second.begin()->first };
+        return { StreamOrigin::Source::OnlyVersion, versions->second.begin()->first };
     }
-    return std::nullopt;
+    return {};
 }
 
 std::string StreamOriginBook::makeRecord(MonotonicTime now) const
--- a/src/streams/StreamOriginBook.h
+++ b/src/streams/StreamOriginBook.h
@@ -22,7 +22,8 @@
 class StreamOriginBook {
 public:
     // At least the time for which a caller may take a stream up; from the longest deadline of the configuration.
-    void setRetention(Duration);
+    // A shorter one takes effect once streams of before have ended.
+    void setRetention(Duration, MonotonicTime now);
     void setServers(const std::vector<BackendServer>&, MonotonicTime now);
     // Forgets what no stream needs any more.
     void advance(MonotonicTime now);
@@ -31,6 +32,8 @@
     Outcome<void> takeVersions(std::string_view text, MonotonicTime now);
     // Whether the store lacks a version, or has one that nothing needs.
     bool areVersionsOutdated() const { return m_versionsTaken && makeVersions() != m_storedVersions; }
+    // Whether the store has the version, as far as this instance has read or written it.
+    bool isVersionStored(const TargetName&, const SoftwareVersion&) const;
     std::string makeVersions() const;
     void noteVersionsStored(std::string text) { m_storedVersions = std::move(text); }
     // Whether streams of more than one version may be taken up, of the target or of any.
@@ -40,8 +43,11 @@
     // Whether an earlier grant of the request had another version.
     bool noteGranted(
         const std::string& callerId, const TargetName&, const SoftwareVersion&, Duration lifetime, MonotonicTime now);
-    // Nothing if only the records in the store can tell.
-    std::optional<StreamOrigin> find(const std::string& callerId, const TargetName&, MonotonicTime now) const;
+    // What this instance knows of a request of its own. Nothing if only the store can tell.
+    std::optional<StreamOrigin> findOwn(const std::string& callerId, const TargetName&, MonotonicTime now) const;
+    // What the versions and records tell that were read after the caller asked. What was read before may be outdated:
+    // a request can be granted another server until its stream begins.
+    StreamOrigin findRead(const std::string& callerId, const TargetName&, MonotonicTime now) const;
 
     // This instance's record of its streams, of targets with several versions.
     std::string makeRecord(MonotonicTime now) const;
@@ -68,7 +74,9 @@
 
     void noteMixed(const TargetName&, bool wasMixed);
 
+    std::optional<Duration> m_setRetention; // the latest that was set
     Duration m_retention = std::chrono::seconds(30);
+    MonotonicTime m_shrinksAt {};
     std::map<TargetName, Versions> m_versions;
     std::vector<std::pair<TargetName, SoftwareVersion>> m_listed;
     bool m_versionsTaken = false;
--- a/src/streams/StreamOriginBookTest.cpp
+++ b/src/streams/StreamOriginBookTest.cpp
@@ -35,10 +35,9 @@
     return book;
 }
 
-std::optional<StreamOrigin::Source> sourceOf(const StreamOriginBook& book, const std::string& id)
+StreamOrigin::Source sourceOf(const StreamOriginBook& book, const std::string& id)
 {
-    auto found = book.find(id, target, start + 1s);
-    return found ? std::optional(found->source) : std::nullopt;
+    return book.findRead(id, target, start + 1s).source;
 }
 
 } // namespace
@@ -59,12 +58,10 @@
     book.setServers({ makeServer(oldVersion), makeServer(newVersion) }, start + 1s);
     REQUIRE(book.isRecordOutdated());
     auto other = makeBook({ oldVersion, newVersion });
-    CHECK(sourceOf(other, "a") == std::nullopt);
+    CHECK(sourceOf(other, "a") == StreamOrigin::Source::Unknown);
     REQUIRE(other.takeRecord(book.makeRecord(start + 1s), false, start + 1s));
-    auto found = other.find("a", target, start + 2s);
-    REQUIRE(found);
-    CHECK(found->version == oldVersion);
-    CHECK(sourceOf(other, "not recorded") == std::nullopt);
+    CHECK(other.findRead("a", target, start + 2s) == StreamOrigin { StreamOrigin::Source::Store, oldVersion });
+    CHECK(sourceOf(other, "not recorded") == StreamOrigin::Source::Unknown);
 }
 
 // Guards against a process that starts after the last server of the old version has left, and takes each stream for one
@@ -72,8 +69,8 @@
 TEST_CASE("a version that only the store knows of counts until no stream of it can be left")
 {
     auto book = makeBook({ newVersion }, R"({"m":["v1"]})");
-    book.setRetention(10s);
-    CHECK(sourceOf(book, "a") == std::nullopt);
+    book.setRetention(10s, start);
+    CHECK(sourceOf(book, "a") == StreamOrigin::Source::Unknown);
     CHECK(book.areVersionsOutdated());
     book.advance(start + 11s);
     CHECK_FALSE(book.isMixed());
@@ -88,14 +85,14 @@
     auto book = makeBook({ oldVersion });
     book.noteGranted("a", target, newVersion, 5s, start);
     CHECK(book.isRecordOutdated());
-    CHECK(sourceOf(book, "of another instance") == std::nullopt);
+    CHECK(sourceOf(book, "of another instance") == StreamOrigin::Source::Unknown);
 }
 
 TEST_CASE("before the stored versions are read, no stream is taken for one of the only version")
 {
     StreamOriginBook book;
     book.setServers({ makeServer(oldVersion) }, start);
-    CHECK(sourceOf(book, "a") == std::nullopt);
+    CHECK(sourceOf(book, "a") == StreamOrigin::Source::Unknown);
     REQUIRE(book.takeVersions({}, start));
     CHECK(sourceOf(book, "a") == StreamOrigin::Source::OnlyVersion);
 }
@@ -103,7 +100,7 @@
 TEST_CASE("a version that was dropped does not come back with a text that was read before")
 {
     auto book = makeBook({ newVersion }, R"({"m":["v1","v2"]})");
-    book.setRetention(1s);
+    book.setRetention(1s, start);
     book.advance(start + 2s);
     REQUIRE(book.takeVersions(R"({"m":["v1","v2"]})", start + 2s));
     CHECK_FALSE(book.isMixed());
@@ -119,7 +116,7 @@
     CHECK(book.noteGranted("a", target, newVersion, 5s, start));
     CHECK(book.isRecordOutdated());
     CHECK_FALSE(book.isRecordStored(book.changes()));
-    CHECK(book.find("a", target, start)->version == newVersion);
+    CHECK(book.findOwn("a", target, start)->version == newVersion);
 }
 
 // Guards against a restarted instance that overwrites the record of its earlier process.
@@ -132,8 +129,8 @@
     REQUIRE(book.takeRecord(earlier.makeRecord(start), true, start));
     auto reader = makeBook({ oldVersion, newVersion });
     REQUIRE(reader.takeRecord(book.makeRecord(start), false, start));
-    CHECK(reader.find("a", target, start)->version == oldVersion);
-    CHECK(reader.find("b", target, start)->version == newVersion);
+    CHECK(reader.findRead("a", target, start).version == oldVersion);
+    CHECK(reader.findRead("b", target, start).version == newVersion);
     // A record that was only read is not this instance's.
     CHECK(reader.makeRecord(start) == R"({"streams":[]})");
 }
@@ -143,7 +140,50 @@
     auto book = makeBook({ oldVersion, newVersion });
     book.noteGranted("a", target, oldVersion, 1s, start);
     CHECK(book.makeRecord(start + 2s) == R"({"streams":[]})");
-    CHECK(book.find("a", target, start + 2s) == std::nullopt);
+    CHECK(book.findOwn("a", target, start + 2s) == std::nullopt);
+    CHECK(book.findRead("a", target, start + 2s) == StreamOrigin());
+}
+
+// Guards against a record that was read early, and is used although its instance has replaced it.
+TEST_CASE("a record of another instance counts only as it was read last")
+{
+    auto writer = makeBook({ oldVersion, newVersion });
+    writer.noteGranted("a", target, oldVersion, 5s, start);
+    auto reader = makeBook({ oldVersion, newVersion });
+    REQUIRE(reader.takeRecord(writer.makeRecord(start), false, start));
+    CHECK(reader.findOwn("a", target, start) == std::nullopt);
+    writer.noteGranted("a", target, newVersion, 5s, start);
+    REQUIRE(reader.takeRecord(writer.makeRecord(start), false, start));
+    CHECK(reader.findRead("a", target, start).version == newVersion);
+}
+
+TEST_CASE("a stream that began at another target does not go on at the only version of this one")
+{
+    auto book = makeBook({ oldVersion });
+    book.noteGranted("a", TargetName("other"), oldVersion, 5s, start);
+    CHECK(book.findOwn("a", target, start) == StreamOrigin());
+    CHECK(book.findRead("a", target, start) == StreamOrigin());
+}
+
+// Guards against a version that is forgotten while streams of a longer deadline than the new one may be taken up.
+TEST_CASE("a shorter retention takes effect after the longer one has passed")
+{
+    auto book = makeBook({ newVersion }, R"({"m":["v1"]})");
+    book.setRetention(10s, start);
+    book.setRetention(2s, start + 1s);
+    book.advance(start + 5s);
+    CHECK(book.isMixed());
+    book.advance(start + 12s);
+    CHECK_FALSE(book.isMixed());
+}
+
+TEST_CASE("a version counts as stored once the store's text has it")
+{
+    auto book = makeBook({ oldVersion, newVersion }, R"({"m":["v1"]})");
+    CHECK(book.isVersionStored(target, oldVersion));
+    CHECK_FALSE(book.isVersionStored(target, newVersion));
+    book.noteVersionsStored(book.makeVersions());
+    CHECK(book.isVersionStored(target, newVersion));
 }
 
 TEST_CASE("texts of the store that cannot be read are refused")
--- a/src/streams/StreamOrigins.h
+++ b/src/streams/StreamOrigins.h
@@ -13,8 +13,8 @@
 struct StreamOrigin {
     enum class Source {
         OnlyVersion, // no other version served the target while the stream could have begun
-        Memory, // this instance granted the request, or read its record before
-        Store, // read from the record of another process
+        Memory, // the request was granted at this instance
+        Store, // read from the record of another instance
         Unknown,
     };
     Source source = Source::Unknown;
@@ -33,9 +33,11 @@
 
     // A request that may begin a stream was granted a server of the version. The caller may take the stream up within
     // the lifetime. Returns at once, unless an earlier grant of the request had another version: then once the store
-    // has the new one, or after a bound.
-    virtual asio::awaitable<void> noteGranted(std::string callerId, TargetName, SoftwareVersion, Duration lifetime) = 0;
-    // The version that began the stream with this request of a caller. Takes the bound at most.
+    // has the new one, or after a bound. False if the request must not be sent to the server, as the store may still
+    // have the earlier version.
+    virtual asio::awaitable<bool> noteGranted(std::string callerId, TargetName, SoftwareVersion, Duration lifetime) = 0;
+    // The version that began the stream with this request of a caller; without a name of the request, the target's only
+    // version. Takes the bound at most.
     virtual asio::awaitable<StreamOrigin> find(std::string callerId, TargetName, Duration bound) = 0;
 };
 
