Take the own record from a read of all, which saves its first write a conflict

After a restart the first write of an instance's record met the earlier process's one: three calls. If a request that takes a stream up had all records read before, it is now one. PlatformVersionsTest passes; the calls were not counted.

--- a/src/daemon/StreamOriginService.cpp
+++ b/src/daemon/StreamOriginService.cpp
@@ -268,8 +268,13 @@
     for (std::size_t i = 0; objects && i < objects->size(); ++i) {
         const auto& object = objects->at(i);
         auto text = object.value.value_or("");
+        // An earlier process of this instance wrote it; knowing it saves the first write a conflict.
+        bool isOwn = object.key == state->key && !state->recordVersion && !state->writesRecords;
+        if (isOwn) {
+            state->recordVersion = object.version;
+        }
         auto taken = object.key == versionsKey ? state->book.takeVersions(text, now)
-                                               : state->book.takeRecord(text, false, now);
+                                               : state->book.takeRecord(text, isOwn, now);
         if (!taken) {
             LogLine(LogLevel::Error, "stream_record_unreadable")
                 .add("key", object.key)
