--- a/src/streams/StreamOriginBook.cpp
+++ b/src/streams/StreamOriginBook.cpp
@@ -48,11 +48,8 @@
 {
     m_listed.clear();
     for (const auto& server : servers) {
-        m_listed.emplace_back(server.target, server.softwareVersion);
+        m_listed.emplace(server.target, server.softwareVersion);
     }
-    std::ranges::sort(m_listed);
-    auto repeated = std::ranges::unique(m_listed);
-    m_listed.erase(repeated.begin(), repeated.end());
     advance(now);
 }
 
--- a/src/streams/StreamOriginBook.h
+++ b/src/streams/StreamOriginBook.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -78,7 +79,7 @@
     Duration m_retention = std::chrono::seconds(30);
     MonotonicTime m_shrinksAt {};
     std::map<TargetName, Versions> m_versions;
-    std::vector<std::pair<TargetName, SoftwareVersion>> m_listed;
+    std::set<std::pair<TargetName, SoftwareVersion>> m_listed;
     bool m_versionsTaken = false;
     std::string m_storedVersions;
     absl::flat_hash_map<std::string, Stream> m_streams; // by the caller's name of the request
