Pause after failed calls for the versions and records of streams

While the store refuses calls, a request that takes a stream up began one read after the other without a pause until its bound, and each grant at a version that is not stored began one read of the versions. Failed calls are billed, and 87 instances do so at once.

Change: a failed read is followed by the pause between searches, a failed write of the versions by the tick's.

--- a/src/daemon/StreamOriginService.cpp
+++ b/src/daemon/StreamOriginService.cpp
@@ -172,14 +172,15 @@
         std::uniform_int_distribution<Duration::rep> delay(0, mostVersionsDelay.count());
         co_await state->pause(Duration(delay(state->random)));
     }
-    bool taken = co_await state->takeVersions();
-    if (taken && state->book.areVersionsOutdated()) {
+    bool done = co_await state->takeVersions();
+    if (done && state->book.areVersionsOutdated()) {
         bool isReplaced = state->versionsVersion.has_value();
         auto text = state->book.makeVersions();
         auto written = co_await state->store->write(std::string(versionsKey), text, state->versionsVersion);
         LogLine(written ? LogLevel::Info : LogLevel::Warning, "software_versions_stored")
             .add("versions", text)
             .add("error", written ? std::string() : written.error().message);
+        done = written.has_value();
         if (written) {
             state->versionsVersion = *written;
             state->book.noteVersionsStored(std::move(text));
@@ -188,6 +189,9 @@
             }
         }
     }
+    if (!done) {
+        co_await state->pause(tickInterval);
+    }
     state->writesVersions = false;
 }
 
@@ -283,6 +287,9 @@
     }
     if (objects) {
         state->readsDone = wanted;
+    } else {
+        // Those that wait begin the next read at once, and calls that fail are billed too.
+        co_await state->pause(searchInterval);
     }
     state->reads = false;
     state->readDone.cancel();
