Reach servers through peers where an instance is cut off from them

Cause: an instance had one way to a server. Class: what one observer cannot reach is taken for something that is down.

Change: a server that does not take a direct connection is tried through peers. The connection alone goes through the peer (a tunnel on the peer port); the request, its retries and its usage stay with their entry. Only a server that peers do not reach either counts as failed. Bytes from the server are framed, so that an answer without a length is whole only if the server ended it.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -100,6 +100,8 @@
         if (!thread) {
             return tl::make_unexpected(thread.error());
         }
+        (*thread)->setCutOffChanged(
+            [this](bool cutOff) { asio::post(m_io, [this, cutOff] { m_peers->setCutOff(cutOff); }); });
         // With port 0 the first thread learns the port from the kernel and the others share it.
         *callers = (*thread)->endpoint();
         m_traffic.push_back(std::move(*thread));
@@ -136,6 +138,9 @@
 {
     m_peers->setMembersChanged([this] {
         m_control->handleMembers(m_peers->members());
+        for (auto& thread : m_traffic) {
+            thread->setTunnelPeers(m_peers->tunnelPeers());
+        }
         if (m_storeServices) {
             m_storeServices->handleMembers();
         }
@@ -182,8 +187,8 @@
     add(
         "peers", [this] { m_peers->start(); },
         [this]() -> asio::awaitable<void> {
+            co_await m_peers->drainTunnels(m_shutdown.requestsEnd.value_or(MonotonicTime::max()));
             m_peers->stop();
-            co_return;
         });
     if (m_engines) {
         add(
--- a/src/daemon/PeerService.cpp
+++ b/src/daemon/PeerService.cpp
@@ -5,6 +5,12 @@
 
 namespace lagoonspoke {
 
+namespace {
+
+constexpr Duration drainPollInterval = std::chrono::milliseconds(20);
+
+} // namespace
+
 Outcome<std::unique_ptr<PeerService>> PeerService::Make(
     asio::io_context& io, const DaemonSettings& settings, InstanceDirectoryPtr directory)
 {
@@ -43,6 +49,7 @@
 
 void PeerService::announceLeaving()
 {
+    m_state->tunnels.setLeaving();
     m_state->handle(LeaveRequested {});
 }
 
@@ -59,6 +66,7 @@
     if (m_state->exchange) {
         m_state->exchange->stop();
     }
+    m_state->tunnels.stop();
     for (auto& [peer, link] : m_state->links) {
         link->close();
     }
@@ -93,6 +101,34 @@
     return m_state->heard;
 }
 
+std::vector<tcp::endpoint> PeerService::tunnelPeers() const
+{
+    const auto& self = m_state->membership.self();
+    std::vector<tcp::endpoint> peers;
+    for (const auto& member : m_state->heard) {
+        auto endpoint = parseEndpoint(member.peerAddress);
+        bool isLiving = member.state == MemberState::Alive || member.state == MemberState::Suspect;
+        if (isLiving && member.id != self.id && member.region == self.region && endpoint) {
+            peers.push_back(*endpoint);
+        }
+    }
+    return peers;
+}
+
+void PeerService::setCutOff(bool cutOff)
+{
+    m_state->tunnels.setCutOff(cutOff);
+}
+
+asio::awaitable<void> PeerService::drainTunnels(MonotonicTime end)
+{
+    asio::steady_timer timer(m_state->io);
+    while (m_state->tunnels.count() > 0 && readMonotonicClock() < end) {
+        timer.expires_after(drainPollInterval);
+        co_await timer.async_wait(useTuple);
+    }
+}
+
 void PeerService::send(const InstanceId& to, PeerChannel channel, std::string payload)
 {
     m_state->sendTo(to, channel, std::move(payload));
--- a/src/daemon/PeerService.h
+++ b/src/daemon/PeerService.h
@@ -12,6 +12,7 @@
 #include "lagoonspoke/dispatch/BackendServer.h"
 #include "lagoonspoke/membership/Member.h"
 #include "settings/DaemonSettings.h"
+#include "wire/Tunnel.h"
 
 namespace lagoonspoke {
 
@@ -24,6 +25,7 @@
     HandOver,
     Fleet,
     Directory, // PeerService's own: backend servers, for instances that cannot read them
+    Tunnel = tunnelChannel, // PeerService's own: connections to backend servers
 };
 
 // Membership and message links between the instances. Owned by the Daemon; used on the control thread only.
@@ -52,6 +54,12 @@
     bool readsStore() const;
     // The instances that this one passes news of the store on to; empty where each reads for itself.
     std::vector<InstanceId> recipients() const;
+    // The peer addresses of the living instances of this region, which may carry connections to backend servers.
+    std::vector<tcp::endpoint> tunnelPeers() const;
+    // Whether this instance is cut off from the backend servers, so that it carries no connections to them for others.
+    void setCutOff(bool);
+    // Waits until the connections that this instance carries for others have ended, at most until then.
+    asio::awaitable<void> drainTunnels(MonotonicTime end);
     // Sends at best effort and in order over one link; dropped when the peer cannot be reached.
     void send(const InstanceId& to, PeerChannel, std::string payload);
     void publish(Rumour);
--- a/src/daemon/PeerServiceState.cpp
+++ b/src/daemon/PeerServiceState.cpp
@@ -1,6 +1,7 @@
 #include "daemon/PeerServiceState.h"
 
 #include <algorithm>
+#include <array>
 #include <random>
 
 #include "http/Endpoint.h"
@@ -15,6 +16,8 @@
 using namespace std::chrono_literals;
 
 constexpr Duration acceptRetry = 100ms; // when the process has no descriptor left
+// Both links and tunnels send at once.
+constexpr Duration firstFrameBound = 3s;
 
 Membership::Options makeMembershipOptions(const DaemonSettings& settings, const std::string& address)
 {
@@ -37,6 +40,7 @@
     , membership(Membership::Make(makeMembershipOptions(settings, formatEndpoint(this->ports.endpoint()))))
     , source(std::move(instanceDirectory))
     , timer(io)
+    , tunnels(io, { [this](const std::string& address) { return findServer(address); } })
 {
     updateHeard();
 }
@@ -229,20 +233,67 @@
             co_await retry.async_wait(useTuple);
             continue;
         }
-        auto holder = std::make_shared<std::weak_ptr<PeerSession>>();
-        PeerSession::Handlers handlers;
-        handlers.greeted = [self = this](const HelloFrame& hello) {
-            self->noteGreeting(hello);
-            return true;
-        };
-        handlers.received
-            = [self = this](const HelloFrame& from, PayloadFrame frame) { self->receive(from, std::move(frame)); };
-        handlers.closed = [self = this, holder] { self->sessions.erase(holder->lock()); };
-        auto session = std::make_shared<PeerSession>(std::move(*socket), makeHello(), std::move(handlers));
-        *holder = session;
-        sessions.insert(session);
-        session->start();
+        asio::co_spawn(io, receiveFirst(std::move(*socket)), [self = shared_from_this()](const std::exception_ptr&) {});
+    }
+}
+
+asio::awaitable<void> PeerService::State::receiveFirst(tcp::socket accepted)
+{
+    // Shared, as the timer may outlive this coroutine's frame by one turn of the loop.
+    auto socket = std::make_shared<tcp::socket>(std::move(accepted));
+    asio::steady_timer bound(io, firstFrameBound);
+    bound.async_wait([socket](error_code ec) {
+        if (!ec) {
+            socket->close(ec);
+        }
+    });
+    FrameDecoder decoder;
+    std::string received;
+    Outcome<std::optional<Frame>> first = std::optional<Frame>();
+    while (first && !*first) {
+        std::array<char, 1024> buf;
+        auto [ec, n] = co_await socket->async_read_some(asio::buffer(buf), useTuple);
+        if (ec) {
+            co_return;
+        }
+        received.append(buf.data(), n);
+        decoder.append({ buf.data(), n });
+        first = decoder.next();
+    }
+    bool expired = bound.cancel() == 0;
+    if (!first || expired || stopped) {
+        co_return;
     }
+    if (const auto* address = tunnelPayload(**first)) {
+        tunnels.serve(std::move(*socket), *address);
+    } else {
+        openSession(std::move(*socket), std::move(received));
+    }
+}
+
+void PeerService::State::openSession(tcp::socket socket, std::string received)
+{
+    auto holder = std::make_shared<std::weak_ptr<PeerSession>>();
+    PeerSession::Handlers handlers;
+    handlers.greeted = [self = this](const HelloFrame& hello) {
+        self->noteGreeting(hello);
+        return true;
+    };
+    handlers.received
+        = [self = this](const HelloFrame& from, PayloadFrame frame) { self->receive(from, std::move(frame)); };
+    handlers.closed = [self = this, holder] { self->sessions.erase(holder->lock()); };
+    auto session
+        = std::make_shared<PeerSession>(std::move(socket), makeHello(), std::move(handlers), std::move(received));
+    *holder = session;
+    sessions.insert(session);
+    session->start();
+}
+
+std::optional<tcp::endpoint> PeerService::State::findServer(const std::string& address) const
+{
+    bool isListed = std::ranges::any_of(directory.servers(), [&](const auto& it) { return it.address == address; });
+    auto endpoint = parseEndpoint(address);
+    return isListed && endpoint ? std::optional(*endpoint) : std::nullopt;
 }
 
 asio::awaitable<void> PeerService::State::receiveDatagrams()
--- a/src/daemon/PeerServiceState.h
+++ b/src/daemon/PeerServiceState.h
@@ -9,6 +9,7 @@
 #include "daemon/PeerService.h"
 #include "daemon/ServerDirectory.h"
 #include "daemon/ServerListExchange.h"
+#include "daemon/TunnelServer.h"
 #include "membership/Membership.h"
 
 namespace lagoonspoke {
@@ -39,6 +40,10 @@
     void openExchange();
 
     asio::awaitable<void> acceptLinks();
+    // Reads the first bytes of an accepted connection, which tell what it is for.
+    asio::awaitable<void> receiveFirst(tcp::socket);
+    void openSession(tcp::socket, std::string received);
+    std::optional<tcp::endpoint> findServer(const std::string& address) const;
     asio::awaitable<void> receiveDatagrams();
 
     asio::io_context& io;
@@ -53,6 +58,7 @@
     asio::steady_timer timer;
     std::map<InstanceId, std::shared_ptr<PeerLink>> links;
     std::set<std::shared_ptr<PeerSession>> sessions; // accepted
+    TunnelServer tunnels;
     std::map<PeerChannel, Receiver> receivers;
     std::function<void()> membersChanged = [] {};
     std::function<void()> roleChanged = [] {};
--- a/src/daemon/PeerSession.cpp
+++ b/src/daemon/PeerSession.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-PeerSession::PeerSession(tcp::socket socket, std::string hello, Handlers handlers)
+PeerSession::PeerSession(tcp::socket socket, std::string hello, Handlers handlers, std::string_view received)
     : m_socket(std::move(socket))
     , m_wake(m_socket.get_executor())
     , m_watch(m_socket.get_executor())
@@ -25,6 +25,7 @@
     , m_lastSent(m_lastHeard)
     , m_lastPayload(m_lastHeard)
 {
+    m_decoder.append(received);
     m_queuedBytes = hello.size();
     m_queue.push_back(std::move(hello));
 }
@@ -109,25 +110,27 @@
 asio::awaitable<void> PeerSession::readFrames()
 {
     std::array<char, 16 * 1024> buf;
-    while (!m_closed) {
+    while (!m_closed && takeFrames()) {
         auto [ec, n] = co_await m_socket.async_read_some(asio::buffer(buf), useTuple);
         if (ec || m_closed) {
             break;
         }
         m_lastHeard = readMonotonicClock();
         m_decoder.append({ buf.data(), n });
-        auto frame = m_decoder.next();
-        while (frame && *frame && take(std::move(**frame))) {
-            frame = m_decoder.next();
-        }
-        // A frame that was taken out but not accepted, or a damaged one, ends the session.
-        if (!frame || *frame) {
-            break;
-        }
     }
     fail();
 }
 
+bool PeerSession::takeFrames()
+{
+    auto frame = m_decoder.next();
+    while (frame && *frame && take(std::move(**frame))) {
+        frame = m_decoder.next();
+    }
+    // A frame that was taken out but not accepted, or a damaged one, ends the session.
+    return frame && !*frame;
+}
+
 asio::awaitable<void> PeerSession::writeFrames()
 {
     while (!m_closed) {
--- a/src/daemon/PeerSession.h
+++ b/src/daemon/PeerSession.h
@@ -27,7 +27,8 @@
         Duration idleBound {};
     };
 
-    PeerSession(tcp::socket, std::string hello, Handlers);
+    // Begins with the bytes that were received before.
+    PeerSession(tcp::socket, std::string hello, Handlers, std::string_view received = {});
 
     void start();
     // Queues an encoded frame. Closes the session when the queue is over its bound, as the other side does not read.
@@ -41,6 +42,8 @@
     asio::awaitable<void> writeFrames();
     asio::awaitable<void> watchLiveness();
     bool take(Frame);
+    // Takes the whole frames; false if the session has to end.
+    bool takeFrames();
     void fail();
 
     tcp::socket m_socket;
--- a/src/daemon/TrafficThread.cpp
+++ b/src/daemon/TrafficThread.cpp
@@ -115,6 +115,17 @@
         m_io, [this, origins = std::move(origins)]() mutable { m_service.setStreamOrigins(std::move(origins)); });
 }
 
+void TrafficThread::setTunnelPeers(std::vector<tcp::endpoint> peers)
+{
+    asio::post(m_io, [this, peers = std::move(peers)]() mutable { m_service.connector().setPeers(std::move(peers)); });
+}
+
+void TrafficThread::setCutOffChanged(std::function<void(bool)> handler)
+{
+    asio::post(m_io,
+        [this, handler = std::move(handler)]() mutable { m_service.connector().setCutOffChanged(std::move(handler)); });
+}
+
 void TrafficThread::setAdmitsKeys(bool admits)
 {
     asio::post(m_io, [this, admits] { m_service.setAdmitsKeys(admits); });
--- a/src/daemon/TrafficThread.h
+++ b/src/daemon/TrafficThread.h
@@ -30,6 +30,10 @@
     void setUsageSink(UsageSink);
     // The origins are called on this thread.
     void setStreamOrigins(std::shared_ptr<StreamOrigins>);
+    // The peer addresses of the instances that may carry connections to backend servers.
+    void setTunnelPeers(std::vector<tcp::endpoint>);
+    // The handler runs on this thread; see ServerConnector.
+    void setCutOffChanged(std::function<void(bool)>);
     // With false, new requests that carry a key are refused, as the instance may have missed a withdrawal.
     void setAdmitsKeys(bool);
     // Begins a shutdown in which every request has its final answer by then.
--- a/src/entry/BackendConnection.cpp
+++ b/src/entry/BackendConnection.cpp
@@ -5,6 +5,7 @@
 
 #include "http/CallerWatch.h"
 #include "http/Endpoint.h"
+#include "wire/Tunnel.h"
 
 namespace lagoonspoke {
 
@@ -19,6 +20,7 @@
 // A token's event fits in the smallest read.
 constexpr std::size_t minReadBytes = 1024;
 constexpr std::size_t maxReadBytes = 16 * 1024;
+constexpr std::chrono::seconds unacknowledgedBound(5);
 
 } // namespace
 
@@ -47,17 +49,82 @@
     if (!endpoint) {
         co_return asio::error::make_error_code(asio::error::invalid_argument);
     }
+    m_stream.close();
     m_stream.expires_after(bound);
     auto [ec] = co_await m_stream.async_connect(*endpoint, useTuple);
     if (!ec && m_closed) {
         co_return asio::error::make_error_code(asio::error::operation_aborted);
     }
     if (!ec) {
-        setLivenessOptions(m_stream.socket(), std::chrono::seconds(5));
+        setLivenessOptions(m_stream.socket(), unacknowledgedBound);
     }
     co_return ec;
 }
 
+asio::awaitable<TunnelOutcome> BackendConnection::connectThrough(tcp::endpoint peer, Duration bound)
+{
+    auto request = encodeFrame(PayloadFrame { tunnelChannel, m_address });
+    if (!request) {
+        co_return TunnelOutcome::PeerUnavailable;
+    }
+    m_stream.close();
+    m_stream.expires_after(bound);
+    auto [connectError] = co_await m_stream.async_connect(peer, useTuple);
+    if (connectError || m_closed) {
+        co_return TunnelOutcome::PeerUnavailable;
+    }
+    setLivenessOptions(m_stream.socket(), unacknowledgedBound);
+    auto [writeError, written] = co_await asio::async_write(m_stream, asio::buffer(*request), useTuple);
+    if (writeError) {
+        co_return TunnelOutcome::PeerUnavailable;
+    }
+    TunnelReader reader;
+    auto [readError, reply] = co_await reader.readFrame(m_stream);
+    if (readError || m_closed || reply == tunnelUnavailable) {
+        co_return TunnelOutcome::PeerUnavailable;
+    }
+    if (reply != tunnelOpen) {
+        co_return TunnelOutcome::ServerUnreachable;
+    }
+    m_tunnel = std::move(reader);
+    co_return TunnelOutcome::Open;
+}
+
+asio::awaitable<std::pair<error_code, std::size_t>> BackendConnection::receive(asio::mutable_buffer space)
+{
+    if (m_tunnel) {
+        co_return co_await m_tunnel->readSome(m_stream, space);
+    }
+    auto [ec, n] = co_await m_stream.async_read_some(space, useTuple);
+    co_return std::pair(ec, n);
+}
+
+// What Beast's read operation does on a stream; it cannot read from a tunnel.
+asio::awaitable<error_code> BackendConnection::readHeader()
+{
+    if (!m_tunnel) {
+        auto [ec, n] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, useTuple);
+        co_return ec;
+    }
+    error_code ec;
+    while (true) {
+        if (m_buffer.size() > 0) {
+            m_buffer.consume(m_parser->put(m_buffer.data(), ec));
+            if (m_parser->is_header_done() || (ec && ec != http::error::need_more)) {
+                co_return ec;
+            }
+        }
+        auto [readError, n] = co_await receive(m_buffer.prepare(minReadBytes));
+        if (readError == asio::error::eof) {
+            co_return error_code(m_parser->got_some() ? http::error::partial_message : http::error::end_of_stream);
+        }
+        if (readError) {
+            co_return readError;
+        }
+        m_buffer.commit(n);
+    }
+}
+
 asio::awaitable<error_code> BackendConnection::send(
     std::string_view head, std::string_view body, std::size_t& written, Duration bound)
 {
@@ -76,7 +143,7 @@
         m_parser->body_limit(boost::none);
         m_parser->header_limit(maxHeadBytes);
         m_parser->skip(headRequest);
-        auto [ec, n] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, useTuple);
+        auto ec = co_await readHeader();
         if (ec || m_parser->get().result_int() >= 200) {
             co_return ec;
         }
@@ -100,7 +167,7 @@
             co_return error_code(http::error::buffer_overflow);
         }
         auto space = m_buffer.prepare(std::clamp(m_buffer.capacity(), minReadBytes, maxReadBytes));
-        auto [readError, n] = co_await m_stream.async_read_some(space, useTuple);
+        auto [readError, n] = co_await receive(space);
         if (readError == asio::error::eof) {
             m_parser->put_eof(ec);
             co_return ec;
@@ -175,7 +242,7 @@
 
 bool BackendConnection::isStillIdle()
 {
-    return !m_closed && isQuiet(m_stream.socket());
+    return !m_closed && (!m_tunnel || !m_tunnel->hasUnread()) && isQuiet(m_stream.socket());
 }
 
 void BackendConnection::startRequest()
--- a/src/entry/BackendConnection.h
+++ b/src/entry/BackendConnection.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "entry/TunnelReader.h"
 #include "http/HttpExchange.h"
 #include "lagoonspoke/core/Error.h"
 #include "lagoonspoke/core/Time.h"
@@ -19,6 +20,13 @@
 
 std::string_view toString(AnswerFraming);
 
+// How the attempt to reach a server through a peer ended.
+enum class TunnelOutcome {
+    Open,
+    ServerUnreachable, // also for the peer
+    PeerUnavailable, // which says nothing of the server
+};
+
 // A connection to a backend server, with one request at a time. Owned by the coroutine of the request that it
 // carries, or by the BackendPool while it is idle.
 class BackendConnection {
@@ -30,6 +38,10 @@
     bool reused() const { return m_requests > 1; }
 
     asio::awaitable<error_code> connect(Duration bound);
+    // Connects through the instance with this peer address, after connect() failed or in place of it.
+    asio::awaitable<TunnelOutcome> connectThrough(tcp::endpoint peer, Duration bound);
+    bool isTunnelled() const { return m_tunnel.has_value(); }
+    bool isClosed() const { return m_closed; }
     // Writes head and body; written gets the number of bytes that the kernel accepted. The texts must stay valid.
     asio::awaitable<error_code> send(
         std::string_view head, std::string_view body, std::size_t& written, Duration bound);
@@ -53,11 +65,14 @@
     void close();
 
 private:
+    asio::awaitable<error_code> readHeader();
+    asio::awaitable<std::pair<error_code, std::size_t>> receive(asio::mutable_buffer);
     // Moves the body bytes that the buffer has to the part.
     error_code parseBody(std::string& part);
 
     std::string m_address;
     beast::tcp_stream m_stream;
+    std::optional<TunnelReader> m_tunnel; // none on a connection to the server itself
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     int m_requests = 0;
--- a/src/entry/BackendPool.cpp
+++ b/src/entry/BackendPool.cpp
@@ -24,12 +24,12 @@
     m_state->idle.clear();
 }
 
-std::unique_ptr<BackendConnection> BackendPool::take(const std::string& address)
+std::unique_ptr<BackendConnection> BackendPool::take(const std::string& address, bool onlyTunnelled)
 {
     // The newest first, so that the surplus of a burst ages out.
     for (auto it = m_state->idle.end(); it != m_state->idle.begin();) {
         --it;
-        if (it->connection->address() != address) {
+        if (it->connection->address() != address || (onlyTunnelled && !it->connection->isTunnelled())) {
             continue;
         }
         auto connection = std::move(it->connection);
--- a/src/entry/BackendPool.h
+++ b/src/entry/BackendPool.h
@@ -14,8 +14,9 @@
     explicit BackendPool(asio::any_io_executor);
     ~BackendPool();
 
-    // An idle connection to the address that received nothing since it was given, or null.
-    std::unique_ptr<BackendConnection> take(const std::string& address);
+    // An idle connection to the address that received nothing since it was given, or null. Connections to a server that
+    // this instance is cut off from look idle, so that those through peers may be asked for alone.
+    std::unique_ptr<BackendConnection> take(const std::string& address, bool onlyTunnelled = false);
     // Keeps the connection if its response is complete; reads a short outstanding end first. Closes it otherwise.
     void give(std::unique_ptr<BackendConnection>);
     std::size_t size() const { return m_state->idle.size(); }
--- a/src/entry/CallerService.cpp
+++ b/src/entry/CallerService.cpp
@@ -8,12 +8,13 @@
 
 namespace lagoonspoke {
 
-CallerService::CallerService(asio::any_io_executor executor, const CallerDialect& dialect,
+CallerService::CallerService(const asio::any_io_executor& executor, const CallerDialect& dialect,
     const DaemonSettings& settings, PlacementClient& placement, RequestMetrics& metrics, std::string requestIdPrefix,
     UsageSink sink)
     : m_ownSettings(settings)
     , m_settings(settings)
-    , m_services { dialect, m_settings, placement, metrics, BackendPool(std::move(executor)), std::move(sink), {} }
+    , m_services { dialect, m_settings, placement, metrics, BackendPool(executor), ServerConnector(executor),
+        std::move(sink), {} }
     , m_requestIdPrefix(std::move(requestIdPrefix))
 {
     placement.setRevoked([this](const Revoke& it) { revoke(it); });
--- a/src/entry/CallerService.h
+++ b/src/entry/CallerService.h
@@ -10,8 +10,8 @@
 class CallerService {
 public:
     // The dialect outlives the service. The usage sink may be empty.
-    CallerService(asio::any_io_executor, const CallerDialect&, const DaemonSettings&, PlacementClient&, RequestMetrics&,
-        std::string requestIdPrefix, UsageSink = {});
+    CallerService(const asio::any_io_executor&, const CallerDialect&, const DaemonSettings&, PlacementClient&,
+        RequestMetrics&, std::string requestIdPrefix, UsageSink = {});
     ~CallerService();
 
     asio::awaitable<void> handle(HttpExchange&);
@@ -21,6 +21,8 @@
     bool isValidKey(const std::string& digest) const;
     void setUsageSink(UsageSink sink) { m_services.usageSink = std::move(sink); }
     void setStreamOrigins(std::shared_ptr<StreamOrigins> origins) { m_services.streamOrigins = std::move(origins); }
+    // The connections to backend servers; see ServerConnector for what it wants to know.
+    ServerConnector& connector() { return m_services.connector; }
     // With false, new requests that carry a key are refused as not_ready; running ones go on.
     void setAdmitsKeys(bool admits) { m_services.admitsKeys = admits; }
     // Begins a shutdown: from now on only requests run that are expected to end by then.
--- a/src/entry/RequestMachine.cpp
+++ b/src/entry/RequestMachine.cpp
@@ -258,14 +258,15 @@
     {
         auto cause = event.cause;
         auto outcome = FinishOutcome::ServerFailed;
-        if (isRevocation(cause)) {
+        if (isRevocation(cause) || event.cutOff) {
             outcome = FinishOutcome::Aborted;
         } else if (m_sentOnGrant && (cause == AttemptFailure::Broken || cause == AttemptFailure::Unreachable)) {
             // A leaving server closes its connections itself.
             outcome = event.serverAccepts || m_grantEnded ? FinishOutcome::Disconnected : FinishOutcome::ServerDied;
         }
         act(ReleaseGrant { outcome });
-        if (cause != AttemptFailure::Preempted) {
+        // Another server is not reached any better, and the next connection goes through a peer.
+        if (cause != AttemptFailure::Preempted && !event.cutOff) {
             m_excluded.push_back(m_server);
         }
     }
--- a/src/entry/RequestMachine.h
+++ b/src/entry/RequestMachine.h
@@ -74,6 +74,8 @@
     bool bytesWritten = true;
     // Whether the server took a new connection after this one broke, so that its process has not died.
     bool serverAccepts = false;
+    // Whether this instance is cut off from the server, so that the failure says nothing of the server.
+    bool cutOff = false;
 };
 // Nothing may be sent to the granted server any more. What it was sent before goes on.
 struct GrantEnded { };
--- a/src/entry/RequestMachineTest.cpp
+++ b/src/entry/RequestMachineTest.cpp
@@ -117,6 +117,25 @@
     REQUIRE(paper.find<Refuse>()->retryAfter == std::chrono::seconds(3));
 }
 
+// Guards against one instance that is cut off from the servers having them ejected for the callers of all others.
+TEST_CASE("a failure at an instance that is cut off says nothing of the server")
+{
+    Paper paper;
+    paper.admit(true, false);
+    SECTION("no connection")
+    {
+        paper.post(Granted { BackendServerId("a") });
+        paper.post(AttemptFailed { AttemptFailure::Unreachable, false, false, true });
+    }
+    SECTION("a connection that broke")
+    {
+        paper.send("a");
+        paper.post(AttemptFailed { AttemptFailure::Broken, true, false, true });
+    }
+    REQUIRE(paper.released() == FinishOutcome::Aborted);
+    REQUIRE(paper.find<AskForGrant>()->excluded.empty());
+}
+
 // Guards against refusing as not run a request that an earlier attempt sent.
 TEST_CASE("a refusal after a sent attempt says unknown")
 {
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // Delays the next attempt where the server's machine is silent.
-constexpr Duration mostDeathCheck = std::chrono::milliseconds(200);
+constexpr Duration mostDeathCheck = std::chrono::milliseconds(400);
 
 CallerHead copyHead(const HttpExchange& exchange)
 {
@@ -67,7 +67,7 @@
         auto chosen = chooseEvent(std::move(*event));
         if (auto* failed = std::get_if<AttemptFailed>(&chosen)) {
             if (m_machine.suggestsDeath(*failed)) {
-                failed->serverAccepts = co_await acceptsConnections();
+                co_await checkServer(*failed);
             }
             logFailedAttempt(*failed);
         }
@@ -77,11 +77,12 @@
     conclude();
 }
 
-asio::awaitable<bool> RequestRunner::acceptsConnections() const
+asio::awaitable<void> RequestRunner::checkServer(AttemptFailed& failed)
 {
-    BackendConnection connection(m_exchange.socket().get_executor(), m_grant->address);
-    auto ec = co_await connection.connect(std::min(mostDeathCheck, m_services.settings.connectTimeout));
-    co_return !ec;
+    auto bound = std::min(mostDeathCheck, m_services.settings.connectTimeout);
+    auto reach = co_await m_services.connector.check(m_grant->address, bound);
+    failed.serverAccepts = reach == Reach::Direct;
+    failed.cutOff = reach == Reach::ThroughPeer || reach == Reach::Unknown;
 }
 
 RequestRunner::Next RequestRunner::perform(RequestAction action)
@@ -363,18 +364,22 @@
     m_attemptStart = readMonotonicClock();
     m_limitSeen = false;
     m_limit.reset();
-    m_connection = action.fresh ? nullptr : m_services.pool.take(m_grant->address);
+    auto& connector = m_services.connector;
+    m_connection
+        = action.fresh ? nullptr : m_services.pool.take(m_grant->address, connector.isCutOff(m_grant->address));
     if (m_connection) {
         m_connection->startRequest();
+        m_throughPeer = m_connection->isTunnelled();
         co_return Connected { true };
     }
     m_connection = std::make_unique<BackendConnection>(m_exchange.socket().get_executor(), m_grant->address);
     m_connection->startRequest();
     m_wait = Wait::Backend;
-    auto ec = co_await m_connection->connect(m_services.settings.connectTimeout);
+    auto reach = co_await connector.connect(*m_connection, m_services.settings.connectTimeout);
     m_wait = Wait::Nothing;
-    if (ec) {
-        co_return AttemptFailed { AttemptFailure::Unreachable, false };
+    m_throughPeer = m_connection->isTunnelled();
+    if (reach == Reach::Nobody || reach == Reach::Unknown) {
+        co_return AttemptFailed { AttemptFailure::Unreachable, false, false, reach == Reach::Unknown };
     }
     co_return Connected {};
 }
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -12,6 +12,7 @@
 #include "entry/CallerDialect.h"
 #include "entry/PlacementClient.h"
 #include "entry/RunTimes.h"
+#include "entry/ServerConnector.h"
 #include "http/CallerWatch.h"
 #include "lagoonspoke/usage/UsageRecord.h"
 #include "observe/RequestMetrics.h"
@@ -30,6 +31,7 @@
     PlacementClient& placement;
     RequestMetrics& metrics;
     BackendPool pool;
+    ServerConnector connector;
     UsageSink usageSink;
     std::map<DomainId, RetryBudget> budgets;
     // False while the instance cannot know whether keys were withdrawn.
@@ -92,8 +94,8 @@
     asio::awaitable<void> respondModels();
     void releaseGrant(FinishOutcome);
     void logFailedAttempt(const AttemptFailed&) const;
-    // Whether the granted server takes a new connection, as a process that has died does not.
-    asio::awaitable<bool> acceptsConnections() const;
+    // Finds out whether the granted server takes a new connection, as a process that has died does not.
+    asio::awaitable<void> checkServer(AttemptFailed&);
     RequestEvent chooseEvent(RequestEvent);
     void interrupt(RequestEvent);
     void startDeadline();
@@ -155,6 +157,7 @@
     bool m_startCounted = false;
     BackendServerId m_server;
     SoftwareVersion m_serverVersion;
+    bool m_throughPeer = false; // the latest attempt
     std::optional<SoftwareVersion> m_notedVersion; // of the latest grant that the stream may begin on
     // Of the server that began the stream, once the caller has a part of it.
     std::optional<SoftwareVersion> m_streamVersion;
--- a/src/wire/FrameDecoder.h
+++ b/src/wire/FrameDecoder.h
@@ -52,6 +52,8 @@
     // The next whole frame, or nothing until more bytes arrive. After an error (TooLarge, ProtocolViolation) the
     // stream cannot be read further.
     Outcome<std::optional<Frame>> next();
+    // Whether every byte belonged to a frame that was taken.
+    bool empty() const { return m_position == m_buffer.size(); }
 
 private:
     std::string m_buffer;
