Grant brittle servers no more than the rejections that they survive

Servers may name, in all their answers, how many requests they can reject in a second without falling over. The number was not read: a burst of grants to a server with less room than slots made it reject all of them at once, from which it falls over, and its load goes to the others.

Change: RejectionGuard, for each server at the dispatcher and at instances that place by themselves. At most half of the number is granted before the first answers can arrive, and after as many rejections nothing until they are a second old. Instances that place by themselves share the number. A server that has not answered yet is taken to be like the others of its target. A new dispatcher learns the numbers with the resync.

A steady load with room is not held back.

--- a/include/lagoonspoke/dispatch/Messages.h
+++ b/include/lagoonspoke/dispatch/Messages.h
@@ -66,9 +66,11 @@
     bool finished = false;
     FinishOutcome outcome = FinishOutcome::Completed;
     Tokens promptTokens; // as counted by the server; with finished only
-    // Whether the server's answer showed its request limit, or that it has none.
+    // Whether the server's answer showed its limits, or that it has none.
     bool limitSeen = false;
     std::optional<RequestRate> limit = {}; // for the requests of all instances together
+    // More requests in a second that the server has to reject, from all instances together, and it fails.
+    std::optional<RequestRate> rejectionLimit = {};
     // Concerns this instance alone, so it is not sent to dispatchers of others.
     std::optional<ServerSignal> signal = {};
 };
@@ -94,7 +96,7 @@
     Duration age {};
 };
 
-// A request limit that an entry knows of, so that a new dispatcher keeps to it from the start.
+// A limit of requests, or of rejections, that an entry knows of, so that a new dispatcher keeps to it from the start.
 struct KnownLimit {
     BackendServerId server;
     RequestRate limit;
@@ -109,6 +111,7 @@
     std::vector<HeldGrant> held;
     std::vector<ReadPart> parts = {}; // least recently used first
     std::vector<KnownLimit> limits = {};
+    std::vector<KnownLimit> rejectionLimits = {};
 };
 
 struct Grant {
--- a/src/daemon/ControlLoop.cpp
+++ b/src/daemon/ControlLoop.cpp
@@ -268,6 +268,7 @@
                        },
                        [&](PublishFloor& it) { publishFloor(domain, it.floor); },
                        [&](RequestLimitChanged& it) { logRequestLimit(domain, it); },
+                       [&](RejectionLimitChanged& it) { logRejectionLimit(domain, it); },
                        [&](PublishQuarantine& it) {
                            logQuarantine(domain, it);
                            QuarantineReceived quarantine { it.fingerprint, it.remaining, std::move(it.companions) };
--- a/src/daemon/ControlLoop.h
+++ b/src/daemon/ControlLoop.h
@@ -52,6 +52,7 @@
     void execute(const DomainId&, std::vector<DispatchAction>);
     void logRefusal(const DomainId&, const SendToEntry&, MonotonicTime now) const;
     static void logRequestLimit(const DomainId&, const RequestLimitChanged&);
+    static void logRejectionLimit(const DomainId&, const RejectionLimitChanged&);
     // Logs which servers were added or removed, leave, or are used again although they were known to leave.
     void logServerChanges(const std::vector<BackendServer>& servers) const;
     static void logQuarantine(const DomainId&, const PublishQuarantine&);
--- a/src/daemon/ControlLoopLog.cpp
+++ b/src/daemon/ControlLoopLog.cpp
@@ -85,6 +85,16 @@
         .add("entry", change.entry.value());
 }
 
+void ControlLoop::logRejectionLimit(const DomainId& domain, const RejectionLimitChanged& change)
+{
+    LogLine(LogLevel::Info, "rejection_limit_changed")
+        .add("domain", domain.value())
+        .add("server", change.server.value())
+        .add("rejections_per_s", change.limit ? fmt::format("{}", change.limit->perSecond) : "none")
+        .add("request", change.request.value())
+        .add("entry", change.entry.value());
+}
+
 void ControlLoop::logQuarantine(const DomainId& domain, const PublishQuarantine& quarantine)
 {
     LogLine(LogLevel::Warning, "quarantined")
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -108,7 +108,16 @@
     InstanceId entry;
 };
 
-using DispatchAction = std::variant<SendToEntry, PublishQuarantine, PublishFloor, RequestLimitChanged>;
+// For the log: a backend server named another number of rejections that it survives, or answered without one.
+struct RejectionLimitChanged {
+    BackendServerId server;
+    std::optional<RequestRate> limit;
+    RequestId request; // whose answer showed it
+    InstanceId entry;
+};
+
+using DispatchAction
+    = std::variant<SendToEntry, PublishQuarantine, PublishFloor, RequestLimitChanged, RejectionLimitChanged>;
 
 struct DispatchLoad {
     // Granted and waiting requests.
--- a/src/dispatch/FallbackPlacer.cpp
+++ b/src/dispatch/FallbackPlacer.cpp
@@ -33,8 +33,41 @@
     while (m_departed.size() > mostDeparted) {
         m_departed.pop_front();
     }
-    std::erase_if(
-        m_limits, [&](const auto& it) { return !std::ranges::count(m_servers, it.first, &BackendServer::id); });
+    std::erase_if(m_limits, [&](const auto& it) { return !isListed(it.first); });
+    std::erase_if(m_rejections, [&](const auto& it) { return !isListed(it.first); });
+}
+
+bool FallbackPlacer::recordRejectionLimit(
+    const BackendServerId& server, const std::optional<RequestRate>& rate, MonotonicTime grantedAt, MonotonicTime now)
+{
+    if (!rate && !m_rejections.contains(server)) {
+        return false;
+    }
+    return m_rejections[server].recordAnswer(rate, grantedAt, now);
+}
+
+void FallbackPlacer::recordRejection(const BackendServerId& server, MonotonicTime now)
+{
+    if (auto it = m_rejections.find(server); it != m_rejections.end()) {
+        it->second.recordRejection(now);
+    }
+}
+
+std::vector<KnownLimit> FallbackPlacer::rejectionLimits(const DomainId& domain, MonotonicTime now) const
+{
+    std::vector<KnownLimit> limits;
+    for (const auto& [server, guard] : m_rejections) {
+        if (guard.rate() && isListed(server, domain)) {
+            limits.push_back({ server, *guard.rate(), now - guard.heardAt() });
+        }
+    }
+    return limits;
+}
+
+bool FallbackPlacer::isListed(const BackendServerId& id, const DomainId& domain) const
+{
+    auto it = std::ranges::find(m_servers, id, &BackendServer::id);
+    return it != m_servers.end() && serves(*it, domain);
 }
 
 bool FallbackPlacer::recordAnswer(
@@ -93,8 +126,12 @@
     return it != m_servers.end() ? it->leaving : std::ranges::count(m_departed, id) > 0;
 }
 
-bool FallbackPlacer::isWithinLimit(const BackendServerId& server, MonotonicTime now) const
+bool FallbackPlacer::isWithinLimits(const BackendServerId& server, MonotonicTime now)
 {
+    if (auto guard = m_rejections.find(server);
+        guard != m_rejections.end() && !guard->second.hasRoom(m_instanceCount, now)) {
+        return false;
+    }
     auto it = m_limits.find(server);
     if (it == m_limits.end() || !it->second.limit.rate()) {
         return true;
@@ -171,7 +208,7 @@
     for (const auto* server : serversOf(place.domain)) {
         slots += static_cast<std::size_t>(server->slots);
         if (fitsVersion(*server, place.softwareVersion) && inFlightOn(server->id) < server->slots
-            && !std::ranges::count(place.excluded, server->id) && isWithinLimit(server->id, now)) {
+            && !std::ranges::count(place.excluded, server->id) && isWithinLimits(server->id, now)) {
             available.push_back(server);
         }
     }
@@ -188,6 +225,9 @@
     if (auto it = m_limits.find(chosen->id); it != m_limits.end() && it->second.limit.rate()) {
         it->second.turns.take(now);
     }
+    if (auto it = m_rejections.find(chosen->id); it != m_rejections.end()) {
+        it->second.recordGrant(now);
+    }
     return chosen;
 }
 
--- a/src/dispatch/FallbackPlacer.h
+++ b/src/dispatch/FallbackPlacer.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "dispatch/Dispatcher.h"
+#include "dispatch/RejectionGuard.h"
 #include "dispatch/RequestLimit.h"
 #include "dispatch/RequestTurns.h"
 #include "lagoonspoke/dispatch/BackendServer.h"
@@ -58,6 +59,11 @@
         const BackendServerId&, const std::optional<RequestRate>&, MonotonicTime grantedAt, MonotonicTime now);
     // The request limits in force that this instance heard of, of the domain's servers.
     std::vector<KnownLimit> limits(const DomainId&, MonotonicTime now) const;
+    // The same of the rejections that a server survives; see RejectionGuard.
+    bool recordRejectionLimit(
+        const BackendServerId&, const std::optional<RequestRate>&, MonotonicTime grantedAt, MonotonicTime now);
+    void recordRejection(const BackendServerId&, MonotonicTime now);
+    std::vector<KnownLimit> rejectionLimits(const DomainId&, MonotonicTime now) const;
 
     // Returns nullptr when the request may not be placed now.
     const BackendServer* choose(const PlaceRequest&, std::size_t placedLocally, MonotonicTime now);
@@ -65,7 +71,8 @@
 private:
     bool admits(const PlaceRequest&, MonotonicTime now) const;
     int inFlightOn(const BackendServerId&) const;
-    bool isWithinLimit(const BackendServerId&, MonotonicTime now) const;
+    bool isWithinLimits(const BackendServerId&, MonotonicTime now);
+    bool isListed(const BackendServerId&, const DomainId&) const;
 
     struct Floor {
         Tier tier;
@@ -88,6 +95,7 @@
         RequestTurns turns;
     };
     std::map<BackendServerId, LimitShare> m_limits;
+    std::map<BackendServerId, RejectionGuard> m_rejections;
 };
 
 } // namespace lagoonspoke
--- a/src/dispatch/GrantScheduler.cpp
+++ b/src/dispatch/GrantScheduler.cpp
@@ -248,7 +248,8 @@
     }
     ++server.inFlight;
     server.limit.recordGrant(now);
-    server.limitReached = !server.limit.hasRoom(now);
+    server.rejections.recordGrant(now);
+    server.limitReached = !server.isWithinLimits(now);
     --m_freeSlots;
     server.addAwaitingFirstByte(now, granted.promptWork);
     m_state.selector.recordGrant(server);
--- a/src/dispatch/GrantTracker.cpp
+++ b/src/dispatch/GrantTracker.cpp
@@ -50,6 +50,11 @@
         m_state.actions.emplace_back(
             RequestLimitChanged { granted.server, progress.limit, granted.place.request, granted.entry });
     }
+    if (server && progress.limitSeen
+        && server->rejections.recordAnswer(progress.rejectionLimit, granted.grantedAt, now)) {
+        m_state.actions.emplace_back(
+            RejectionLimitChanged { granted.server, progress.rejectionLimit, granted.place.request, granted.entry });
+    }
     if (!granted.holdsSlot && !progress.finished) {
         // The grant expired because its first report was late, but it is in use.
         granted.holdsSlot = true;
--- a/src/dispatch/PlacementRouterRequests.cpp
+++ b/src/dispatch/PlacementRouterRequests.cpp
@@ -68,6 +68,7 @@
         }
     }
     resync.limits = m_fallback.limits(id, now);
+    resync.rejectionLimits = m_fallback.rejectionLimits(id, now);
     sendToOwner(id, std::move(resync));
 }
 
@@ -211,7 +212,16 @@
 void PlacementRouter::recordLimit(const Request& request, const Progress& progress, MonotonicTime now)
 {
     const auto& id = request.place.domain;
-    if (!progress.limitSeen || !m_fallback.recordAnswer(request.held->server, progress.limit, request.grantedAt, now)) {
+    const auto& server = request.held->server;
+    if (progress.finished && progress.outcome == FinishOutcome::Declined) {
+        m_fallback.recordRejection(server, now);
+    }
+    if (!progress.limitSeen) {
+        return;
+    }
+    bool changed = m_fallback.recordAnswer(server, progress.limit, request.grantedAt, now);
+    changed = m_fallback.recordRejectionLimit(server, progress.rejectionLimit, request.grantedAt, now) || changed;
+    if (!changed) {
         return;
     }
     // The current dispatcher takes nothing from reports of grants that it does not know.
--- a/src/dispatch/PolicyDispatcher.cpp
+++ b/src/dispatch/PolicyDispatcher.cpp
@@ -210,6 +210,12 @@
             m_state.actions.emplace_back(RequestLimitChanged { known.server, known.limit, {}, resync.entry });
         }
     }
+    for (const auto& known : resync.rejectionLimits) {
+        auto* server = m_state.pool.find(known.server);
+        if (server && server->rejections.recordReport(known.limit, now - known.age)) {
+            m_state.actions.emplace_back(RejectionLimitChanged { known.server, known.limit, {}, resync.entry });
+        }
+    }
     for (const auto& held : resync.held) {
         m_tracker.restore(resync.entry, dataCentre, held, now);
     }
--- a/src/dispatch/ServerPool.cpp
+++ b/src/dispatch/ServerPool.cpp
@@ -100,8 +100,24 @@
 
 void ServerPool::updateLimits(MonotonicTime now)
 {
+    presumeRejectionLimits(now);
     for (auto& [id, state] : m_servers) {
-        state.limitReached = !state.limit.hasRoom(now);
+        state.limitReached = !state.isWithinLimits(now);
+    }
+}
+
+void ServerPool::presumeRejectionLimits(MonotonicTime now)
+{
+    std::optional<RequestRate> lowest;
+    for (const auto& [id, state] : m_servers) {
+        if (const auto& rate = state.rejections.rate(); rate && (!lowest || *rate < *lowest)) {
+            lowest = rate;
+        }
+    }
+    for (auto& [id, state] : m_servers) {
+        if (lowest && state.rejections.heardAt() == MonotonicTime()) {
+            state.rejections.recordReport(*lowest, now);
+        }
     }
 }
 
--- a/src/dispatch/ServerPool.h
+++ b/src/dispatch/ServerPool.h
@@ -54,6 +54,9 @@
     double tokensReadPerSecond() const;
 
 private:
+    // Servers of one kind fail alike: one that has not answered yet is taken to survive as few rejections as the
+    // others.
+    void presumeRejectionLimits(MonotonicTime now);
     void eject(ServerState&, MonotonicTime now);
     // Mean over the servers with measurements; empty when there are none.
     std::optional<double> meanSecondsPerPromptToken() const;
--- a/src/dispatch/ServerState.h
+++ b/src/dispatch/ServerState.h
@@ -5,6 +5,7 @@
 
 #include "dispatch/PrefixCache.h"
 #include "dispatch/PrefixIndex.h"
+#include "dispatch/RejectionGuard.h"
 #include "dispatch/RequestLimiter.h"
 #include "dispatch/ServerHealth.h"
 #include "lagoonspoke/dispatch/BackendServer.h"
@@ -28,7 +29,13 @@
     void recordLoadReport(int running, double tokensPerSecond, Duration age, MonotonicTime now);
 
     // The server declined a request because it is full with work that this dispatcher does not know of.
-    void recordDeclined(MonotonicTime now) { m_declinedAt = now; }
+    void recordDeclined(MonotonicTime now)
+    {
+        m_declinedAt = now;
+        rejections.recordRejection(now);
+    }
+    // Whether the server's limits leave room for a request.
+    bool isWithinLimits(MonotonicTime now) { return limit.hasRoom(now) && rejections.hasRoom(1, now); }
     bool declinedSince(MonotonicTime time) const { return m_declinedAt && *m_declinedAt > time; }
 
     // The server is a model engine whose prompt parts are known, so its time to the first byte measures how fast it
@@ -52,12 +59,13 @@
     int usableSlots = 0;
     // Slots that requests keep busy at most: the usable ones, or fewer when the request limit is reached before.
     double sustainedSlots = 0;
-    bool limitReached = false; // the request limit leaves no room in the current scheduler run
+    bool limitReached = false; // the limits leave no room in the current scheduler run
     bool slow = false;
     bool isolated = false; // reserved for a suspect request, or running one
     bool runsSuspect = false;
     ServerHealth health;
     RequestLimiter limit;
+    RejectionGuard rejections;
     PrefixIndex prefix; // from the engine's cache events
     PrefixCache cache; // from the prompts sent to the engine
     int gapSensitive = 0; // requests in flight whose class has a short gap target
--- a/src/entry/CallerDialect.cpp
+++ b/src/entry/CallerDialect.cpp
@@ -13,6 +13,22 @@
 // A server that names a longer time by mistake is tried again after this one.
 constexpr Duration longestPause = std::chrono::minutes(1);
 
+std::optional<RequestRate> readRate(
+    const http::response_header<>& head, std::string_view headerName, BackendAnswer& answer)
+{
+    std::optional<RequestRate> lowest;
+    auto [it, end] = head.equal_range(beast::string_view(headerName.data(), headerName.size()));
+    for (; it != end; ++it) {
+        auto rate = parseNumber<double>(std::string_view(it->value().data(), it->value().size()));
+        if (!rate || !std::isfinite(*rate) || *rate < 0) {
+            answer.hasInvalidLimit = true;
+        } else if (!lowest || *rate < lowest->perSecond) {
+            lowest = RequestRate { *rate };
+        }
+    }
+    return lowest;
+}
+
 } // namespace
 
 tl::expected<AdmittedRequest, CallerError> OwnDialect::admitHead(
@@ -32,17 +48,11 @@
     return lagoonspoke::formatBackendHead(request, head);
 }
 
-void readRequestLimit(const http::response_header<>& head, std::string_view headerName, BackendAnswer& answer)
+void readLimits(const http::response_header<>& head, std::string_view requestLimitName,
+    std::string_view rejectionLimitName, BackendAnswer& answer)
 {
-    auto [it, end] = head.equal_range(beast::string_view(headerName.data(), headerName.size()));
-    for (; it != end; ++it) {
-        auto rate = parseNumber<double>(std::string_view(it->value().data(), it->value().size()));
-        if (!rate || !std::isfinite(*rate) || *rate < 0) {
-            answer.hasInvalidLimit = true;
-        } else if (!answer.limit || *rate < answer.limit->perSecond) {
-            answer.limit = RequestRate { *rate };
-        }
-    }
+    answer.limit = readRate(head, requestLimitName, answer);
+    answer.rejectionLimit = readRate(head, rejectionLimitName, answer);
 }
 
 void readServerPause(const http::response_header<>& head, std::string_view headerName, BackendAnswer& answer)
@@ -69,7 +79,7 @@
         answer.requestId.assign(id.data(), id.size());
     }
     answer.usable = !answer.requestId.empty();
-    readRequestLimit(head, "x-request-limit", answer);
+    readLimits(head, "x-request-limit", "x-rejection-limit", answer);
     answer.headers.emplace_back("x-request-id", answer.requestId);
     answer.headers.emplace_back("x-lagoonspoke-run", toString(RunStatus::Ran));
     for (auto& header : copyHeaders(head)) {
--- a/src/entry/CallerDialect.h
+++ b/src/entry/CallerDialect.h
@@ -27,15 +27,19 @@
     bool seemsNotRun = false;
     // The requests that the server takes from all instances together; empty when it names none, or no valid rate.
     std::optional<RequestRate> limit;
-    bool hasInvalidLimit = false;
+    // The requests a second that the server may have to reject, from all instances together, without failing.
+    std::optional<RequestRate> rejectionLimit;
+    bool hasInvalidLimit = false; // one of the two is no rate
     // What it says of further requests; empty when it says nothing.
     std::optional<ServerSignal> signal;
     bool hasInvalidPause = false; // negative, too long, or no number of seconds
     HeaderList headers; // for the caller, without the content type
 };
 
-// Reads the header with the server's request limit into the answer. Of several valid rates the lowest one counts.
-void readRequestLimit(const http::response_header<>&, std::string_view headerName, BackendAnswer&);
+// Reads the headers with the server's limits of requests and of rejections into the answer. Of several valid rates the
+// lowest one counts.
+void readLimits(const http::response_header<>&, std::string_view requestLimitName, std::string_view rejectionLimitName,
+    BackendAnswer&);
 
 // Reads the header with the time, in seconds, for which the server takes no request from this instance. A time above
 // the bound is cut to it.
--- a/src/entry/RequestAnswer.cpp
+++ b/src/entry/RequestAnswer.cpp
@@ -23,12 +23,16 @@
         LogLine(LogLevel::Warning, "request_limit_invalid")
             .add("request", m_id.value())
             .add("server", m_server.value())
-            .add("used", answer.limit ? fmt::format("{}", answer.limit->perSecond) : "none");
+            .add("used", answer.limit ? fmt::format("{}", answer.limit->perSecond) : "none")
+            .add("rejections_used",
+                answer.rejectionLimit ? fmt::format("{}", answer.rejectionLimit->perSecond) : "none");
     }
     // A refusal without a limit does not show that the limit has ended, nor does an unreadable one.
-    m_limitSeen = answer.limit || (answer.execution == BackendAnswer::Execution::Ran && !answer.hasInvalidLimit);
+    bool hasLimit = answer.limit || answer.rejectionLimit;
+    m_limitSeen = hasLimit || (answer.execution == BackendAnswer::Execution::Ran && !answer.hasInvalidLimit);
     m_limit = answer.limit;
-    if (m_limit) {
+    m_rejectionLimit = answer.rejectionLimit;
+    if (hasLimit) {
         m_services.placement.report(makeProgress());
     }
 }
--- a/src/entry/RequestConclusion.cpp
+++ b/src/entry/RequestConclusion.cpp
@@ -28,6 +28,7 @@
     progress.outputTokens = m_relay.tokens().output();
     progress.limitSeen = m_limitSeen;
     progress.limit = m_limit;
+    progress.rejectionLimit = m_rejectionLimit;
     return progress;
 }
 
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -364,6 +364,7 @@
     m_attemptStart = readMonotonicClock();
     m_limitSeen = false;
     m_limit.reset();
+    m_rejectionLimit.reset();
     auto& connector = m_services.connector;
     m_connection
         = action.fresh ? nullptr : m_services.pool.take(m_grant->address, connector.isCutOff(m_grant->address));
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -164,9 +164,10 @@
     std::string_view m_code = "ok";
     RunStatus m_run = RunStatus::Ran;
     Duration m_retryAfter {};
-    // The request limit that the server named in this attempt, once an answer showed whether it has one.
+    // The limits that the server named in this attempt, once an answer showed whether it has any.
     bool m_limitSeen = false;
     std::optional<RequestRate> m_limit;
+    std::optional<RequestRate> m_rejectionLimit;
 };
 
 } // namespace lagoonspoke
--- a/src/wire/PlacementCodec.cpp
+++ b/src/wire/PlacementCodec.cpp
@@ -106,7 +106,7 @@
     auto domain = writeText(builder, it.domain.value());
     return wire::CreateProgress(builder, request, static_cast<std::uint64_t>(it.grant), domain, it.firstByteSeen,
         it.timeToFirstByte.count(), it.outputTokens.count, it.finished, static_cast<std::uint8_t>(it.outcome),
-        it.promptTokens.count, it.limitSeen, writeRate(it.limit));
+        it.promptTokens.count, it.limitSeen, writeRate(it.limit), writeRate(it.rejectionLimit));
 }
 
 flatbuffers::Offset<wire::Withdraw> write(Builder& builder, const Withdraw& it)
@@ -115,6 +115,18 @@
     return wire::CreateWithdraw(builder, request, writeText(builder, it.domain.value()));
 }
 
+using KnownLimitsVector = flatbuffers::Vector<flatbuffers::Offset<wire::KnownLimit>>;
+
+flatbuffers::Offset<KnownLimitsVector> write(Builder& builder, const std::vector<KnownLimit>& limits)
+{
+    std::vector<flatbuffers::Offset<wire::KnownLimit>> written;
+    for (const auto& known : limits) {
+        auto server = writeText(builder, known.server.value());
+        written.push_back(wire::CreateKnownLimit(builder, server, known.limit.perSecond, known.age.count()));
+    }
+    return builder.CreateVector(written);
+}
+
 flatbuffers::Offset<wire::Resync> write(Builder& builder, const Resync& it)
 {
     std::vector<flatbuffers::Offset<wire::PlaceRequest>> waiting;
@@ -135,18 +147,14 @@
         auto tokens = writeTokens(builder, part.prefixTokens);
         parts.push_back(wire::CreateReadPart(builder, server, prefix, tokens, part.age.count()));
     }
-    std::vector<flatbuffers::Offset<wire::KnownLimit>> limits;
-    for (const auto& known : it.limits) {
-        auto server = writeText(builder, known.server.value());
-        limits.push_back(wire::CreateKnownLimit(builder, server, known.limit.perSecond, known.age.count()));
-    }
+    auto limits = write(builder, it.limits);
+    auto rejectionLimits = write(builder, it.rejectionLimits);
     auto entry = writeText(builder, it.entry.value());
     auto domain = writeText(builder, it.domain.value());
     auto waitingVector = builder.CreateVector(waiting);
     auto heldVector = builder.CreateVector(held);
     auto partsVector = builder.CreateVector(parts);
-    return wire::CreateResync(
-        builder, entry, domain, waitingVector, heldVector, partsVector, builder.CreateVector(limits));
+    return wire::CreateResync(builder, entry, domain, waitingVector, heldVector, partsVector, limits, rejectionLimits);
 }
 
 flatbuffers::Offset<wire::Grant> write(Builder& builder, const Grant& it)
@@ -206,6 +214,18 @@
     return place;
 }
 
+std::vector<KnownLimit> readLimits(const KnownLimitsVector* written)
+{
+    std::vector<KnownLimit> limits;
+    for (std::size_t i = 0; written && i < written->size(); ++i) {
+        const auto* known = written->Get(static_cast<flatbuffers::uoffset_t>(i));
+        if (auto rate = readRate(known->per_second())) {
+            limits.push_back({ BackendServerId(toText(known->server())), *rate, readDuration(known->age_ns()) });
+        }
+    }
+    return limits;
+}
+
 Resync read(const wire::Resync& it)
 {
     Resync resync { InstanceId(toText(it.entry())), DomainId(toText(it.domain())), {}, {}, {} };
@@ -225,12 +245,8 @@
         resync.parts.push_back({ BackendServerId(toText(part->server())), readHashes<PrefixBlock>(part->prefix()),
             readTokens(part->prefix_tokens()), readDuration(part->age_ns()) });
     }
-    for (std::size_t i = 0; it.limits() && i < it.limits()->size(); ++i) {
-        const auto* known = it.limits()->Get(static_cast<flatbuffers::uoffset_t>(i));
-        if (auto rate = readRate(known->per_second())) {
-            resync.limits.push_back({ BackendServerId(toText(known->server())), *rate, readDuration(known->age_ns()) });
-        }
-    }
+    resync.limits = readLimits(it.limits());
+    resync.rejectionLimits = readLimits(it.rejection_limits());
     return resync;
 }
 
@@ -247,6 +263,7 @@
     progress.promptTokens = { it.prompt_tokens() };
     progress.limitSeen = it.limit_seen();
     progress.limit = readRate(it.limit_per_second());
+    progress.rejectionLimit = readRate(it.rejections_per_second());
     if (!readEnum(it.outcome(), FinishOutcome::Disconnected, progress.outcome)) {
         return std::nullopt;
     }
--- a/src/wire/WireTest.cpp
+++ b/src/wire/WireTest.cpp
@@ -53,10 +53,10 @@
     DomainId domain("riga/m");
     RequestId request("r1");
     Progress progress { request, GrantId(4), domain, true, 3ms, { 6 }, true, FinishOutcome::ServerDied, { 8 }, true,
-        RequestRate { 2.5 } };
+        RequestRate { 2.5 }, RequestRate { 1.5 } };
     Resync resync { InstanceId("e1"), domain, { makePlace() },
         { { makePlace(), GrantId(5), BackendServerId("s3"), { 9 } } }, {},
-        { { BackendServerId("s5"), RequestRate { 0.5 }, 3s } } };
+        { { BackendServerId("s5"), RequestRate { 0.5 }, 3s } }, { { BackendServerId("s6"), RequestRate { 4 }, 3s } } };
     return { { domain, makePlace() }, { domain, progress }, { domain, Withdraw { request, domain } },
         { domain, resync }, { domain, Grant { request, GrantId(6), BackendServerId("s4"), "127.0.0.1:8", 2s } },
         { domain, Refusal { request, RefusalCode::NotOwner, 7ms } },
@@ -118,6 +118,9 @@
     REQUIRE(resync.limits.at(0).server == BackendServerId("s5"));
     REQUIRE(resync.limits.at(0).limit == RequestRate { 0.5 });
     REQUIRE(resync.limits.at(0).age == 3s);
+    REQUIRE(progress.rejectionLimit == RequestRate { 1.5 });
+    REQUIRE(resync.rejectionLimits.at(0).server == BackendServerId("s6"));
+    REQUIRE(resync.rejectionLimits.at(0).limit == RequestRate { 4 });
     REQUIRE(progress.promptTokens.count == 8);
 }
 
--- a/src/wire/placement_generated.h
+++ b/src/wire/placement_generated.h
@@ -416,7 +416,8 @@
     VT_OUTCOME = 18,
     VT_PROMPT_TOKENS = 20,
     VT_LIMIT_SEEN = 22,
-    VT_LIMIT_PER_SECOND = 24
+    VT_LIMIT_PER_SECOND = 24,
+    VT_REJECTIONS_PER_SECOND = 26
   };
   const flatbuffers::String *request() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST);
@@ -451,6 +452,9 @@
   flatbuffers::Optional<double> limit_per_second() const {
     return GetOptional<double, double>(VT_LIMIT_PER_SECOND);
   }
+  flatbuffers::Optional<double> rejections_per_second() const {
+    return GetOptional<double, double>(VT_REJECTIONS_PER_SECOND);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST) &&
@@ -466,6 +470,7 @@
            VerifyField<int64_t>(verifier, VT_PROMPT_TOKENS, 8) &&
            VerifyField<uint8_t>(verifier, VT_LIMIT_SEEN, 1) &&
            VerifyField<double>(verifier, VT_LIMIT_PER_SECOND, 8) &&
+           VerifyField<double>(verifier, VT_REJECTIONS_PER_SECOND, 8) &&
            verifier.EndTable();
   }
 };
@@ -507,6 +512,9 @@
   void add_limit_per_second(double limit_per_second) {
     fbb_.AddElement<double>(Progress::VT_LIMIT_PER_SECOND, limit_per_second);
   }
+  void add_rejections_per_second(double rejections_per_second) {
+    fbb_.AddElement<double>(Progress::VT_REJECTIONS_PER_SECOND, rejections_per_second);
+  }
   explicit ProgressBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -530,8 +538,10 @@
     uint8_t outcome = 0,
     int64_t prompt_tokens = 0,
     bool limit_seen = false,
-    flatbuffers::Optional<double> limit_per_second = flatbuffers::nullopt) {
+    flatbuffers::Optional<double> limit_per_second = flatbuffers::nullopt,
+    flatbuffers::Optional<double> rejections_per_second = flatbuffers::nullopt) {
   ProgressBuilder builder_(_fbb);
+  if(rejections_per_second) { builder_.add_rejections_per_second(*rejections_per_second); }
   if(limit_per_second) { builder_.add_limit_per_second(*limit_per_second); }
   builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_output_tokens(output_tokens);
@@ -558,7 +568,8 @@
     uint8_t outcome = 0,
     int64_t prompt_tokens = 0,
     bool limit_seen = false,
-    flatbuffers::Optional<double> limit_per_second = flatbuffers::nullopt) {
+    flatbuffers::Optional<double> limit_per_second = flatbuffers::nullopt,
+    flatbuffers::Optional<double> rejections_per_second = flatbuffers::nullopt) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   return lagoonspoke::wire::CreateProgress(
@@ -573,7 +584,8 @@
       outcome,
       prompt_tokens,
       limit_seen,
-      limit_per_second);
+      limit_per_second,
+      rejections_per_second);
 }
 
 struct Withdraw FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -903,7 +915,8 @@
     VT_WAITING = 8,
     VT_HELD = 10,
     VT_PARTS = 12,
-    VT_LIMITS = 14
+    VT_LIMITS = 14,
+    VT_REJECTION_LIMITS = 16
   };
   const flatbuffers::String *entry() const {
     return GetPointer<const flatbuffers::String *>(VT_ENTRY);
@@ -923,6 +936,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>> *limits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>> *>(VT_LIMITS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>> *rejection_limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>> *>(VT_REJECTION_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENTRY) &&
@@ -941,6 +957,9 @@
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
            verifier.VerifyVectorOfTables(limits()) &&
+           VerifyOffset(verifier, VT_REJECTION_LIMITS) &&
+           verifier.VerifyVector(rejection_limits()) &&
+           verifier.VerifyVectorOfTables(rejection_limits()) &&
            verifier.EndTable();
   }
 };
@@ -967,6 +986,9 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>>> limits) {
     fbb_.AddOffset(Resync::VT_LIMITS, limits);
   }
+  void add_rejection_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>>> rejection_limits) {
+    fbb_.AddOffset(Resync::VT_REJECTION_LIMITS, rejection_limits);
+  }
   explicit ResyncBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -985,8 +1007,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::PlaceRequest>>> waiting = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::HeldGrant>>> held = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::ReadPart>>> parts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>>> limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>>> rejection_limits = 0) {
   ResyncBuilder builder_(_fbb);
+  builder_.add_rejection_limits(rejection_limits);
   builder_.add_limits(limits);
   builder_.add_parts(parts);
   builder_.add_held(held);
@@ -1003,13 +1027,15 @@
     const std::vector<flatbuffers::Offset<lagoonspoke::wire::PlaceRequest>> *waiting = nullptr,
     const std::vector<flatbuffers::Offset<lagoonspoke::wire::HeldGrant>> *held = nullptr,
     const std::vector<flatbuffers::Offset<lagoonspoke::wire::ReadPart>> *parts = nullptr,
-    const std::vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>> *limits = nullptr) {
+    const std::vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>> *limits = nullptr,
+    const std::vector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>> *rejection_limits = nullptr) {
   auto entry__ = entry ? _fbb.CreateString(entry) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto waiting__ = waiting ? _fbb.CreateVector<flatbuffers::Offset<lagoonspoke::wire::PlaceRequest>>(*waiting) : 0;
   auto held__ = held ? _fbb.CreateVector<flatbuffers::Offset<lagoonspoke::wire::HeldGrant>>(*held) : 0;
   auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<lagoonspoke::wire::ReadPart>>(*parts) : 0;
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>>(*limits) : 0;
+  auto rejection_limits__ = rejection_limits ? _fbb.CreateVector<flatbuffers::Offset<lagoonspoke::wire::KnownLimit>>(*rejection_limits) : 0;
   return lagoonspoke::wire::CreateResync(
       _fbb,
       entry__,
@@ -1017,7 +1043,8 @@
       waiting__,
       held__,
       parts__,
-      limits__);
+      limits__,
+      rejection_limits__);
 }
 
 struct Grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
