Begin a stream of a new version only once the store can tell of it

Reported from systems like ours: an instance was out of step while servers of a new software version joined; streams that began on them through other instances broke, were taken up at that instance and went on at another version.

It can happen here. A take-up is bound to what a read of the store tells that begins after it came. But the new version was written to the store beside the stream's first grant, or up to 200 ms later, and longer where the store is slow: until then the store has one version only, and the stream is taken for one of it.

Change: a request that may begin a stream is sent only once the store has the server's version, after 1 s at most (then logged). This costs the first streams of a version one write, other streams nothing.

--- a/src/daemon/StreamOriginService.cpp
+++ b/src/daemon/StreamOriginService.cpp
@@ -28,6 +28,8 @@
 // A stream's record may be written a moment after its first event.
 constexpr Duration searchInterval = 150ms;
 constexpr Duration shortestSearch = 400ms;
+// A stream of a version that the store cannot be told of in this time begins all the same.
+constexpr Duration longestVersionWait = 1s;
 // A request that is sent to another version after its first attempt waits this long for the record that says so.
 constexpr Duration shortestRecordWait = 300ms;
 // A deadline ends the caller's wait; its next attempt may have been sent just before.
@@ -45,6 +47,8 @@
         , tick(context)
         , readDone(context, asio::steady_timer::time_point::max())
         , writeDone(context, asio::steady_timer::time_point::max())
+        , versionsDone(context, asio::steady_timer::time_point::max())
+        , versionsDelay(context)
     {
     }
 
@@ -55,6 +59,8 @@
 
     static asio::awaitable<void> run(std::shared_ptr<State>);
     static asio::awaitable<void> writeVersions(std::shared_ptr<State>, bool urgent);
+    // Waits until the store has the version, for a bounded time.
+    static asio::awaitable<void> storeVersion(std::shared_ptr<State>, TargetName, SoftwareVersion, MonotonicTime end);
     static asio::awaitable<void> writeRecords(std::shared_ptr<State>);
     static asio::awaitable<void> readAll(std::shared_ptr<State>);
     static asio::awaitable<void> removeOrphans(std::shared_ptr<State>);
@@ -85,6 +91,8 @@
     asio::steady_timer tick;
     asio::steady_timer readDone; // wakes those that wait for it when it is cancelled
     asio::steady_timer writeDone;
+    asio::steady_timer versionsDone;
+    asio::steady_timer versionsDelay; // until versions that nobody waits for are written
     std::set<std::string> members; // the keys of their records
     bool keepsVersions = true;
     bool versionsTaken = false;
@@ -170,7 +178,8 @@
 {
     if (!urgent) {
         std::uniform_int_distribution<Duration::rep> delay(0, mostVersionsDelay.count());
-        co_await state->pause(Duration(delay(state->random)));
+        state->versionsDelay.expires_after(Duration(delay(state->random)));
+        co_await state->versionsDelay.async_wait(useTuple);
     }
     bool done = co_await state->takeVersions();
     if (done && state->book.areVersionsOutdated()) {
@@ -193,6 +202,26 @@
         co_await state->pause(tickInterval);
     }
     state->writesVersions = false;
+    state->versionsDone.cancel();
+}
+
+asio::awaitable<void> StreamOriginService::State::storeVersion(
+    std::shared_ptr<State> state, TargetName target, SoftwareVersion version, MonotonicTime end)
+{
+    auto isStored = [&] { return state->book.isVersionStored(target, version); };
+    state->wakeAt(end, &State::versionsDone);
+    while (!isStored() && !state->stopped && readMonotonicClock() < end) {
+        if (!std::exchange(state->writesVersions, true)) {
+            asio::co_spawn(state->io, writeVersions(state, true), asio::detached);
+        }
+        state->versionsDelay.cancel();
+        co_await state->versionsDone.async_wait(useTuple);
+    }
+    if (!isStored()) {
+        LogLine(LogLevel::Warning, "software_version_not_stored")
+            .add("target", target.value())
+            .add("software_version", version.value());
+    }
 }
 
 // The records of instances that are gone; each of the others removes its own.
@@ -330,10 +359,9 @@
     auto now = readMonotonicClock();
     bool changed = state->book.noteGranted(callerId, target, version, lifetime, now);
     state->update();
-    // The first streams of a version must not be the only trace of it.
-    if (state->versionsTaken && !state->book.isVersionStored(target, version)
-        && !std::exchange(state->writesVersions, true)) {
-        asio::co_spawn(state->io, writeVersions(state, true), asio::detached);
+    // Without its version in the store, the stream would be taken for one of the only version that the store has.
+    if (state->versionsTaken && !state->book.isVersionStored(target, version)) {
+        co_await storeVersion(state, target, version, now + std::min(lifetime / 2, longestVersionWait));
     }
     if (!changed || !state->book.isMixed(target)) {
         co_return true;
@@ -368,6 +396,8 @@
         m_state->tick.cancel();
         m_state->readDone.cancel();
         m_state->writeDone.cancel();
+        m_state->versionsDone.cancel();
+        m_state->versionsDelay.cancel();
     }
 }
 
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -158,7 +158,6 @@
     BackendServerId m_server;
     SoftwareVersion m_serverVersion;
     bool m_throughPeer = false; // the latest attempt
-    std::optional<SoftwareVersion> m_notedVersion; // of the latest grant that the stream may begin on
     // Of the server that began the stream, once the caller has a part of it.
     std::optional<SoftwareVersion> m_streamVersion;
     std::string_view m_code = "ok";
--- a/src/entry/RequestTakeUp.cpp
+++ b/src/entry/RequestTakeUp.cpp
@@ -31,14 +31,8 @@
     if (!m_services.streamOrigins || !m_request.resumable || m_streamVersion || m_request.callerId.empty()) {
         co_return true;
     }
-    auto noted
-        = m_services.streamOrigins->noteGranted(m_request.callerId, m_request.targetName, m_serverVersion, remaining());
-    auto before = std::exchange(m_notedVersion, m_serverVersion);
-    if (before && *before != m_serverVersion) {
-        co_return co_await std::move(noted);
-    }
-    asio::co_spawn(m_exchange.socket().get_executor(), std::move(noted), asio::detached);
-    co_return true;
+    co_return co_await m_services.streamOrigins->noteGranted(
+        m_request.callerId, m_request.targetName, m_serverVersion, remaining());
 }
 
 } // namespace lagoonspoke
--- a/src/streams/StreamOrigins.h
+++ b/src/streams/StreamOrigins.h
@@ -32,9 +32,9 @@
     virtual ~StreamOrigins() = default;
 
     // A request that may begin a stream was granted a server of the version. The caller may take the stream up within
-    // the lifetime. Returns at once, unless an earlier grant of the request had another version: then once the store
-    // has the new one, or after a bound. False if the request must not be sent to the server, as the store may still
-    // have the earlier version.
+    // the lifetime. Returns once the store has the version among those of the target and, if an earlier grant of the
+    // request had another one, the stream's new version; or after a bound. False if the request must not be sent to the
+    // server, as the store may still have the stream's earlier version.
     virtual asio::awaitable<bool> noteGranted(std::string callerId, TargetName, SoftwareVersion, Duration lifetime) = 0;
     // The version that began the stream with this request of a caller; without a name of the request, the target's only
     // version. Takes the bound at most.
