Keep the stored software versions parsed

Each grant of a stream that may be taken up parsed the stored versions, and wrote out those known here to compare them, also with one version of each target. They are kept parsed, and compared by name. streamsTests pass unchanged; the cost was not measured.

--- a/src/streams/StreamOriginBook.cpp
+++ b/src/streams/StreamOriginBook.cpp
@@ -90,35 +90,68 @@
     return std::ranges::any_of(m_versions, [](const auto& it) { return it.second.size() > 1; });
 }
 
-Outcome<void> StreamOriginBook::takeVersions(std::string_view text, MonotonicTime now)
+Outcome<StreamOriginBook::VersionNames> StreamOriginBook::parseVersions(std::string_view text)
 {
     auto value = text.empty() ? Outcome<json::value>(json::object()) : parseJson(text);
     if (!value || !value->is_object()) {
         return makeError(ErrorCode::ProtocolViolation, "the stored software versions are no JSON object");
     }
+    VersionNames names;
     for (const auto& [name, versions] : value->get_object()) {
-        TargetName target { std::string(name) };
         if (!versions.is_array()) {
             return makeError(ErrorCode::ProtocolViolation, "the software versions of a target are no list");
         }
-        bool wasMixed = isMixed(target);
+        auto& target = names[TargetName(std::string(name))];
         for (const auto& version : versions.get_array()) {
             if (!version.is_string()) {
                 return makeError(ErrorCode::ProtocolViolation, "a stored software version is no text");
             }
-            // How long ago it was listed last is not known. One that was dropped here is not brought back by a text
-            // that this instance has seen before.
-            if (!m_versionsTaken || text != m_storedVersions) {
-                m_versions[target].try_emplace(SoftwareVersion(std::string(version.get_string())), now);
+            target.emplace(std::string(version.get_string()));
+        }
+    }
+    return names;
+}
+
+Outcome<void> StreamOriginBook::takeVersions(std::string_view text, MonotonicTime now)
+{
+    auto names = parseVersions(text);
+    if (!names) {
+        return tl::make_unexpected(names.error());
+    }
+    // How long ago a version was listed last is not known. One that was dropped here is not brought back by a text that
+    // this instance has seen before.
+    bool isNew = !m_versionsTaken || text != m_storedVersions;
+    for (const auto& [target, versions] : *names) {
+        bool wasMixed = isMixed(target);
+        for (const auto& version : versions) {
+            if (isNew) {
+                m_versions[target].try_emplace(version, now);
             }
         }
         noteMixed(target, wasMixed);
     }
     m_versionsTaken = true;
     m_storedVersions = text;
+    m_storedNames = std::move(*names);
     return {};
 }
 
+void StreamOriginBook::noteVersionsStored(std::string text)
+{
+    m_storedNames = parseVersions(text).value_or(VersionNames());
+    m_storedVersions = std::move(text);
+}
+
+bool StreamOriginBook::areVersionsOutdated() const
+{
+    auto hasSameNames = [](const auto& known, const auto& stored) {
+        return known.first == stored.first
+            && std::ranges::equal(known.second, stored.second, {}, [](const auto& it) { return it.first; });
+    };
+    return m_versionsTaken
+        && !std::equal(m_versions.begin(), m_versions.end(), m_storedNames.begin(), m_storedNames.end(), hasSameNames);
+}
+
 std::string StreamOriginBook::makeVersions() const
 {
     json::object targets;
@@ -151,11 +184,8 @@
 
 bool StreamOriginBook::isVersionStored(const TargetName& target, const SoftwareVersion& version) const
 {
-    auto stored = parseJson(m_storedVersions);
-    const auto* targets = stored ? stored->if_object() : nullptr;
-    const auto* versions = targets ? targets->if_contains(target.value()) : nullptr;
-    return versions && versions->is_array()
-        && std::ranges::count(versions->get_array(), json::value(version.value())) > 0;
+    auto it = m_storedNames.find(target);
+    return it != m_storedNames.end() && it->second.contains(version);
 }
 
 std::optional<StreamOrigin> StreamOriginBook::findOwn(
@@ -218,6 +248,7 @@
 void StreamOriginBook::forgetStored()
 {
     m_storedVersions.clear();
+    m_storedNames.clear();
     m_stored = 0;
     ++m_changed;
 }
--- a/src/streams/StreamOriginBook.h
+++ b/src/streams/StreamOriginBook.h
@@ -32,11 +32,11 @@
     // The versions as the store has them; an empty text where it has none. Errors: ProtocolViolation.
     Outcome<void> takeVersions(std::string_view text, MonotonicTime now);
     // Whether the store lacks a version, or has one that nothing needs.
-    bool areVersionsOutdated() const { return m_versionsTaken && makeVersions() != m_storedVersions; }
+    bool areVersionsOutdated() const;
     // Whether the store has the version, as far as this instance has read or written it.
     bool isVersionStored(const TargetName&, const SoftwareVersion&) const;
     std::string makeVersions() const;
-    void noteVersionsStored(std::string text) { m_storedVersions = std::move(text); }
+    void noteVersionsStored(std::string text);
     // Whether streams of more than one version may be taken up, of the target or of any.
     bool isMixed(const TargetName&) const;
     bool isMixed() const;
@@ -72,6 +72,9 @@
         bool isOwn = true;
     };
     using Versions = std::map<SoftwareVersion, MonotonicTime>; // last listed then
+    using VersionNames = std::map<TargetName, std::set<SoftwareVersion>>;
+
+    static Outcome<VersionNames> parseVersions(std::string_view text);
 
     void noteMixed(const TargetName&, bool wasMixed);
 
@@ -82,6 +85,7 @@
     std::set<std::pair<TargetName, SoftwareVersion>> m_listed;
     bool m_versionsTaken = false;
     std::string m_storedVersions;
+    VersionNames m_storedNames; // the same, parsed
     absl::flat_hash_map<std::string, Stream> m_streams; // by the caller's name of the request
     std::uint64_t m_changed = 0;
     std::uint64_t m_stored = 0;
