Use no kept connection to a service after one of them was silent

Now a call that gets no answer closes the other idle connections of its channel, so the next one opens a fresh connection.

--- a/src/http/HttpChannel.cpp
+++ b/src/http/HttpChannel.cpp
@@ -77,6 +77,10 @@
     auto reply
         = co_await callOn(connection->stream, connection->buffer, m_endpoint, std::move(call), bound, maxReplyBytes);
     state->busy.erase(busy);
+    if (!reply && reply.error().code == ErrorCode::TimedOut) {
+        // Whatever silenced this connection may have silenced those as well, and each would cost a call its bound.
+        state->idle.clear();
+    }
     if (reply && reply->keepAlive && connection->buffer.size() == 0 && state->idle.size() < mostIdle) {
         connection->stream.expires_never();
         state->idle.push_back(std::move(connection));
--- a/src/http/HttpChannel.h
+++ b/src/http/HttpChannel.h
@@ -20,6 +20,8 @@
         HttpCall, std::chrono::nanoseconds bound, std::function<bool()> mayWrite = {});
     // Ends the running calls and closes every connection.
     void closeConnections();
+    // Closes the connections that no call runs on.
+    void closeIdleConnections() { m_state->idle.clear(); }
 
 private:
     struct Connection;
