End the watches of the store in turn, so that a silent one is noticed

Reproduced: all connections to the store go silent at 9 s beside a change every 0.7 s. From then on no instance applied a change until 17.2 s; then all 87 did within 0.5 s.

Cause: a watch may wait 20 s, and its client 2 s more. On a connection that went silent it looks like a store without news, and the keep-alive of the socket does not end it here. Readers tell each other of changes, but that helps only while one of them has a connection that works.

After a change all watches begin at once, so the first one of each instance ends at its own turn: every half second the watch of one reader ends.

--- a/src/daemon/DocumentService.cpp
+++ b/src/daemon/DocumentService.cpp
@@ -215,9 +215,9 @@
     m_state->watcher->stop();
 }
 
-void DocumentService::setRole(bool reads, std::vector<InstanceId> recipients)
+void DocumentService::setRole(bool reads, WatchTurn turn, std::vector<InstanceId> recipients)
 {
-    m_state->watcher->tell(CollectionRoleChanged { reads });
+    m_state->watcher->tell(CollectionRoleChanged { reads, turn });
     m_state->feed(DocumentRoleChanged { reads, std::move(recipients) });
 }
 
--- a/src/daemon/DocumentService.h
+++ b/src/daemon/DocumentService.h
@@ -30,7 +30,7 @@
     void stop();
 
     // Whether to read the document, or to live by what peers tell; and the peers to pass changes on to.
-    void setRole(bool reads, std::vector<InstanceId> recipients);
+    void setRole(bool reads, WatchTurn, std::vector<InstanceId> recipients);
     void handleMembers(const std::vector<Member>&);
     void handlePeerMessage(const InstanceId& from, std::string_view payload);
 
--- a/src/daemon/PeerService.cpp
+++ b/src/daemon/PeerService.cpp
@@ -144,6 +144,11 @@
     return !m_state->exchange || m_state->exchange->reads();
 }
 
+WatchTurn PeerService::watchTurn() const
+{
+    return m_state->exchange ? m_state->exchange->turn() : WatchTurn();
+}
+
 std::vector<InstanceId> PeerService::recipients() const
 {
     return m_state->exchange ? m_state->exchange->recipients() : std::vector<InstanceId>();
--- a/src/daemon/PeerService.h
+++ b/src/daemon/PeerService.h
@@ -52,6 +52,8 @@
     const std::vector<Member>& members() const;
     // Whether this instance reads what operators and backend servers write to the store, or lives by what peers tell.
     bool readsStore() const;
+    // The place among the instances that read it.
+    WatchTurn watchTurn() const;
     // The instances that this one passes news of the store on to; empty where each reads for itself.
     std::vector<InstanceId> recipients() const;
     // The peer addresses of the living instances of this region, which may carry connections to backend servers.
--- a/src/daemon/ReaderRoles.cpp
+++ b/src/daemon/ReaderRoles.cpp
@@ -30,6 +30,13 @@
     auto before = std::exchange(m_readers, {});
     m_listeners.clear();
     m_otherReaders.clear();
+    std::vector<InstanceId> others;
+    for (const auto& member : members) {
+        if (isEligible(member) && member.id != m_options.self) {
+            others.push_back(member.id);
+        }
+    }
+    m_turn = placeAmong(others);
     if (total <= m_options.smallFleet) {
         m_isReader = true;
         return;
@@ -52,6 +59,7 @@
         m_changedAt = now;
     }
     if (m_isReader) {
+        m_turn = placeAmong(m_otherReaders);
         for (const auto& member : near) {
             if (!isOneOf(member.id)) {
                 m_listeners.push_back(member.id);
@@ -66,6 +74,12 @@
     return topMembers(readerKey, region, dataCentre, m_options.readersPerDataCentre);
 }
 
+WatchTurn ReaderRoles::placeAmong(const std::vector<InstanceId>& others) const
+{
+    auto before = std::ranges::count_if(others, [&](const InstanceId& it) { return it < m_options.self; });
+    return { static_cast<std::size_t>(before), others.size() + 1 };
+}
+
 std::vector<InstanceId> ReaderRoles::recipients() const
 {
     if (!m_isReader) {
--- a/src/daemon/ReaderRoles.h
+++ b/src/daemon/ReaderRoles.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <vector>
 
+#include "external/WatchTurn.h"
 #include "lagoonspoke/core/Time.h"
 #include "lagoonspoke/membership/Member.h"
 
@@ -32,6 +33,8 @@
     bool isReader() const { return m_isReader; }
     // Whether this instance reads now: as a reader, or because it hears of none.
     bool reads(MonotonicTime now) const;
+    // This instance's place among those that read; among all if it does so only because it hears of no reader.
+    WatchTurn turn() const { return m_turn; }
     // The instances that this one tells, as a reader.
     const std::vector<InstanceId>& listeners() const { return m_listeners; }
     // Those that a reader passes changes on to: its listeners, and the readers of all data centres, as the store's
@@ -48,12 +51,14 @@
     };
 
     bool isSilent(const Reader&, MonotonicTime now) const;
+    WatchTurn placeAmong(const std::vector<InstanceId>& others) const;
     std::vector<const Member*> chooseReaders(const std::vector<Member>& dataCentre) const;
 
     Options m_options;
     std::vector<Reader> m_readers; // of the data centre, the first choice first
     std::vector<InstanceId> m_otherReaders; // of all data centres, without this instance
     std::vector<InstanceId> m_listeners;
+    WatchTurn m_turn;
     bool m_isReader = true;
     MonotonicTime m_changedAt {};
 };
--- a/src/daemon/ReaderRolesTest.cpp
+++ b/src/daemon/ReaderRolesTest.cpp
@@ -84,4 +84,23 @@
     CHECK(roles.reads(MonotonicTime(15s)));
 }
 
+// Guards against watches of several instances that end at the same moment, and against moments without any.
+TEST_CASE("Each instance that reads has a turn of its own")
+{
+    int perDataCentre = GENERATE(4, 20);
+    std::map<std::size_t, std::size_t> watchersByRank;
+    for (const auto& member : makeMembers(perDataCentre)) {
+        auto roles = makeRoles(member.id.value());
+        roles.setMembers(makeMembers(perDataCentre), MonotonicTime(10s));
+        if (roles.isReader()) {
+            CHECK(watchersByRank.emplace(roles.turn().rank, roles.turn().watchers).second);
+        }
+    }
+    CHECK(watchersByRank.size() == (perDataCentre == 4 ? 8 : 4));
+    for (const auto& [rank, watchers] : watchersByRank) {
+        CHECK(rank < watchersByRank.size());
+        CHECK(watchers == watchersByRank.size());
+    }
+}
+
 } // namespace lagoonspoke
--- a/src/daemon/ServerListExchange.cpp
+++ b/src/daemon/ServerListExchange.cpp
@@ -53,6 +53,7 @@
     std::vector<InstanceId> peers;
     std::minstd_rand random { std::random_device {}() };
     bool reading = true;
+    WatchTurn turn;
     bool stopped = false;
 };
 
@@ -103,10 +104,15 @@
 
 void ServerListExchange::State::updateRole()
 {
-    if (auto reads = roles.reads(readMonotonicClock()); reads != reading) {
-        reading = reads;
+    auto reads = roles.reads(readMonotonicClock());
+    bool changed = std::exchange(reading, reads) != reads;
+    if (changed) {
         LogLine(LogLevel::Info, "store_reader_changed").add("reads", reads).add("revision", source->serversRevision());
-        source->setReading(reads);
+    }
+    if (std::exchange(turn, roles.turn()) != roles.turn() || changed) {
+        source->setReading(reads, turn);
+    }
+    if (changed) {
         callbacks.roleChanged(reads);
     }
 }
@@ -195,6 +201,11 @@
     return m_state->reading;
 }
 
+WatchTurn ServerListExchange::turn() const
+{
+    return m_state->roles.turn();
+}
+
 std::vector<InstanceId> ServerListExchange::recipients() const
 {
     return m_state->roles.recipients();
--- a/src/daemon/ServerListExchange.h
+++ b/src/daemon/ServerListExchange.h
@@ -31,6 +31,7 @@
     void receive(const InstanceId& from, std::string_view payload);
 
     bool reads() const;
+    WatchTurn turn() const;
     // The instances that this one passes news of the store on to; empty where each reads for itself.
     std::vector<InstanceId> recipients() const;
 
--- a/src/daemon/StoreServices.cpp
+++ b/src/daemon/StoreServices.cpp
@@ -191,7 +191,7 @@
 void StoreServices::handleMembers()
 {
     if (m_document) {
-        m_document->setRole(m_peers.readsStore(), m_peers.recipients());
+        m_document->setRole(m_peers.readsStore(), m_peers.watchTurn(), m_peers.recipients());
         m_document->handleMembers(m_peers.members());
     } else {
         m_tickets->handleMembers(m_peers.members());
--- a/src/external/CollectionDirectory.cpp
+++ b/src/external/CollectionDirectory.cpp
@@ -115,10 +115,10 @@
     }
 }
 
-void CollectionDirectory::setReading(bool reads)
+void CollectionDirectory::setReading(bool reads, WatchTurn turn)
 {
     if (m_watcher) {
-        m_watcher->tell(CollectionRoleChanged { reads });
+        m_watcher->tell(CollectionRoleChanged { reads, turn });
     }
 }
 
--- a/src/external/CollectionDirectory.h
+++ b/src/external/CollectionDirectory.h
@@ -33,7 +33,7 @@
 
     void start(asio::io_context&, const std::string& peerAddress, Sink) override;
     void stop() override;
-    void setReading(bool) override;
+    void setReading(bool, WatchTurn) override;
     bool isCurrent() const override;
     std::uint64_t serversRevision() const override;
     std::string shareLastChange() const override;
--- a/src/external/CollectionDirectoryTest.cpp
+++ b/src/external/CollectionDirectoryTest.cpp
@@ -100,7 +100,7 @@
 
     void stopReading()
     {
-        directory.setReading(false);
+        directory.setReading(false, {});
         view->deaf = true;
     }
 
--- a/src/external/CollectionFollower.cpp
+++ b/src/external/CollectionFollower.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "lagoonspoke/core/StoreRevision.h"
 
@@ -72,6 +73,7 @@
 void CollectionFollower::take(CollectionListed listed, MonotonicTime now)
 {
     noteAnswer(now);
+    m_startsTurns = true;
     replaceItems(std::move(listed.list), {}, now);
     watch(Duration(0), now);
 }
@@ -101,6 +103,16 @@
         m_actions.emplace_back(ListCollection {});
     }
     m_watches = role.watches;
+    m_turn = role.turn;
+}
+
+Duration CollectionFollower::watchWait()
+{
+    auto watchers = static_cast<Duration::rep>(std::max<std::size_t>(m_turn.watchers, 1));
+    auto round
+        = std::clamp<Duration>(m_options.renewalInterval * watchers, m_options.shortestWatch, m_options.longestWatch);
+    auto place = static_cast<Duration::rep>(m_turn.rank) % watchers + 1;
+    return std::exchange(m_startsTurns, false) ? round * place / watchers : round;
 }
 
 void CollectionFollower::replaceItems(CollectionList list, const std::vector<CollectionChange>& kept, MonotonicTime now)
@@ -138,7 +150,8 @@
 void CollectionFollower::take(CollectionWatched watched, MonotonicTime now)
 {
     noteAnswer(now);
-    auto pause = watched.changes.changes.empty() ? Duration(0) : m_options.watchPause;
+    m_startsTurns = !watched.changes.changes.empty();
+    auto pause = m_startsTurns ? m_options.watchPause : Duration(0);
     apply(std::move(watched.changes.changes), now);
     m_revision = watched.changes.revision;
     watch(pause, now);
@@ -219,7 +232,7 @@
     m_calling = m_watches;
     m_watchAt = m_watches && pause > Duration(0) ? std::optional(now + pause) : std::nullopt;
     if (m_watches && !m_watchAt) {
-        m_actions.emplace_back(WatchCollection { m_revision, m_options.watchWait });
+        m_actions.emplace_back(WatchCollection { m_revision, watchWait() });
     }
 }
 
--- a/src/external/CollectionFollower.h
+++ b/src/external/CollectionFollower.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "external/ObjectCollection.h"
+#include "external/WatchTurn.h"
 
 namespace lagoonspoke {
 
@@ -33,9 +34,10 @@
     std::uint64_t from = 0;
     CollectionChanges changes;
 };
-// Whether to watch the store, or to live by what peers tell.
+// Whether to watch the store, or to live by what peers tell, and the place among those that watch.
 struct CollectionRoleChanged {
     bool watches = true;
+    WatchTurn turn {};
 };
 
 using CollectionEvent = std::variant<CollectionListed, CollectionWatched, CollectionHistoryLost, CollectionCallFailed,
@@ -61,7 +63,11 @@
 class CollectionFollower {
 public:
     struct Options {
-        Duration watchWait = std::chrono::seconds(20);
+        // A connection may go silent without its end being noticed, so only a watch that ends shows that there was no
+        // change. At this interval the watch of one of the instances ends, whose words the others go by.
+        Duration renewalInterval = std::chrono::milliseconds(500);
+        Duration shortestWatch = std::chrono::seconds(2);
+        Duration longestWatch = std::chrono::seconds(20);
         Duration firstRetry = std::chrono::milliseconds(100);
         // Half of the 3 s after an outage in which news may still be late; calls that fail are billed as well.
         Duration longestRetry = std::chrono::milliseconds(1500);
@@ -112,6 +118,9 @@
     void keep(const std::string& name, MonotonicTime until);
     // Begins the next watch, at once or after a pause.
     void watch(Duration pause, MonotonicTime now);
+    // How long the next watch waits. After a change all watches begin at the same moment, so the first one ends at this
+    // instance's turn.
+    Duration watchWait();
     void dropOverdue(MonotonicTime now);
 
     Options m_options;
@@ -121,6 +130,8 @@
     std::uint64_t m_revision = 0;
     std::uint64_t m_itemsRevision = 0;
     bool m_watches = true;
+    WatchTurn m_turn;
+    bool m_startsTurns = true; // the next watch is the first one after a change
     bool m_calling = true; // a call runs, or is about to
     bool m_known = false;
     bool m_reachable = true;
--- a/src/external/CollectionFollowerTest.cpp
+++ b/src/external/CollectionFollowerTest.cpp
@@ -201,4 +201,35 @@
     CHECK(kit.names() == Names { "0", "2" });
 }
 
+// Guards against a change that no instance hears of for long, as every connection to the store is silent and every
+// watch still waits: their ends come one after the other, also where all began at the same moment.
+TEST_CASE("the watches of all instances end in turn after a change, and in the same order later")
+{
+    constexpr std::size_t watchers = 8;
+    std::vector<Duration> first;
+    std::vector<Duration> second;
+    for (std::size_t rank = 0; rank < watchers; ++rank) {
+        Kit kit;
+        kit.send(CollectionRoleChanged { true, { rank, watchers } });
+        kit.send(CollectionListed { { { { "a", "1" } }, 7 } });
+        first.push_back(std::get<WatchCollection>(kit.actions.front()).wait);
+        kit.send(CollectionWatched { { {}, 8 } });
+        second.push_back(std::get<WatchCollection>(kit.actions.front()).wait);
+    }
+    for (std::size_t rank = 0; rank < watchers; ++rank) {
+        CHECK(first[rank] == 500ms * (static_cast<int>(rank) + 1));
+        CHECK(second[rank] == 4s);
+    }
+}
+
+TEST_CASE("a watch is neither so short that one instance makes many calls, nor without an end")
+{
+    Kit kit;
+    kit.send(CollectionListed { { { { "a", "1" } }, 7 } });
+    CHECK(std::get<WatchCollection>(kit.actions.front()).wait == 2s);
+    kit.send(CollectionRoleChanged { true, { 999, 1000 } });
+    kit.send(CollectionWatched { { {}, 8 } });
+    CHECK(std::get<WatchCollection>(kit.actions.front()).wait == 20s);
+}
+
 } // namespace lagoonspoke
--- a/src/external/InstanceDirectory.h
+++ b/src/external/InstanceDirectory.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <vector>
 
+#include "external/WatchTurn.h"
 #include "http/Asio.h"
 #include "lagoonspoke/core/Error.h"
 #include "lagoonspoke/dispatch/BackendServer.h"
@@ -28,8 +29,8 @@
     // Calls the sink no more.
     virtual void stop() = 0;
 
-    // Whether to read the backend servers, or to live by what peers share.
-    virtual void setReading(bool) { }
+    // Whether to read the backend servers, or to live by what peers share, and the place among those that read.
+    virtual void setReading(bool, WatchTurn) { }
     // Whether the backend servers are as read; otherwise peers are asked for what they know.
     virtual bool isCurrent() const { return true; }
     // Grows with every change of the backend servers.
