--- a/src/entry/ServerConnector.cpp
+++ b/src/entry/ServerConnector.cpp
@@ -45,7 +45,8 @@
 {
     bool cutOff = paths.isCutOff();
     if (std::exchange(wasCutOff, cutOff) != cutOff) {
-        LogLine(cutOff ? LogLevel::Warning : LogLevel::Info, cutOff ? "servers_cut_off" : "servers_reached_again");
+        LogLine(cutOff ? LogLevel::Warning : LogLevel::Info, cutOff ? "servers_cut_off" : "servers_reached_again")
+            .add("through_peers", paths.cutOffCount());
         if (cutOffChanged) {
             cutOffChanged(cutOff);
         }
@@ -175,7 +176,7 @@
             auto outcome = co_await connection.connectThrough(peer, tunnelBound);
             state->recordTunnel(address, peer, outcome);
         }
-        if (!state->paths.hasCutOff()) {
+        if (state->paths.cutOffCount() == 0) {
             break;
         }
     }
--- a/src/entry/ServerPaths.h
+++ b/src/entry/ServerPaths.h
@@ -31,8 +31,8 @@
     bool isCutOff(const std::string& address) const;
     // Whether this instance is cut off from all servers, as far as it knows.
     bool isCutOff() const { return m_cutOffInRow.size() >= 2; }
-    // Whether any server is reached through peers.
-    bool hasCutOff() const { return !m_cutOff.empty(); }
+    // How many servers are reached through peers.
+    std::size_t cutOffCount() const { return m_cutOff.size(); }
     // Whether a peer has just failed to reach the server too.
     bool isKnownDown(const std::string& address, MonotonicTime now) const;
     // The peers to try, the likeliest first.
--- a/src/entry/ServerPathsTest.cpp
+++ b/src/entry/ServerPathsTest.cpp
@@ -70,7 +70,7 @@
     CHECK(bed.paths.nextRetrial(bed.now) == first);
     // One that is no longer used is not tried for good.
     CHECK_FALSE(bed.paths.nextRetrial(bed.now + 1min));
-    CHECK_FALSE(bed.paths.hasCutOff());
+    CHECK(bed.paths.cutOffCount() == 0);
 }
 
 // Guards against connections that wait for peers that are cut off as well.
