--- a/src/daemon/TunnelServer.cpp
+++ b/src/daemon/TunnelServer.cpp
@@ -74,7 +74,7 @@
     setLivenessOptions(tunnel->peer, unacknowledgedBound);
     auto server = state->callbacks.findServer(address);
     bool refused = state->cutOff || state->leaving || state->stopped || state->tunnels.size() > mostTunnels || !server;
-    bool isOpen = !refused && co_await open(*state, *tunnel, *server);
+    bool isOpen = !refused && co_await open(tunnel, *server);
     auto reply = encodeTunnelFrame(isOpen ? tunnelOpen : refused ? tunnelUnavailable : tunnelServerUnreachable);
     auto [ec, n] = co_await asio::async_write(tunnel->peer, asio::buffer(reply), useTuple);
     if (!ec && isOpen && !state->stopped) {
@@ -86,21 +86,20 @@
     state->tunnels.erase(tunnel);
 }
 
-asio::awaitable<bool> TunnelServer::open(const State& state, Tunnel& tunnel, tcp::endpoint endpoint)
+asio::awaitable<bool> TunnelServer::open(std::shared_ptr<Tunnel> tunnel, tcp::endpoint endpoint)
 {
-    auto timer = std::make_shared<asio::steady_timer>(state.io, connectBound);
-    // The tunnel outlives the wait, as run() holds it until the timer is cancelled.
-    timer->async_wait([&tunnel, timer](error_code ec) {
+    asio::steady_timer timer(tunnel->server.get_executor(), connectBound);
+    timer.async_wait([tunnel](error_code ec) {
         if (!ec) {
-            closeSocket(tunnel.server);
+            closeSocket(tunnel->server);
         }
     });
-    auto [ec] = co_await tunnel.server.async_connect(endpoint, useTuple);
-    bool expired = timer->cancel() == 0;
-    if (ec || expired || !tunnel.server.is_open()) {
+    auto [ec] = co_await tunnel->server.async_connect(endpoint, useTuple);
+    bool expired = timer.cancel() == 0;
+    if (ec || expired) {
         co_return false;
     }
-    setLivenessOptions(tunnel.server, unacknowledgedBound);
+    setLivenessOptions(tunnel->server, unacknowledgedBound);
     co_return true;
 }
 
--- a/src/daemon/TunnelServer.h
+++ b/src/daemon/TunnelServer.h
@@ -49,7 +49,7 @@
     };
 
     static asio::awaitable<void> run(std::shared_ptr<State>, std::shared_ptr<Tunnel>, std::string address);
-    static asio::awaitable<bool> open(const State&, Tunnel&, tcp::endpoint);
+    static asio::awaitable<bool> open(std::shared_ptr<Tunnel>, tcp::endpoint);
     static asio::awaitable<void> copyToServer(std::shared_ptr<Tunnel>);
     static asio::awaitable<void> copyToPeer(std::shared_ptr<Tunnel>);
 
