Take a server that peers do not list for down, not for cut off

Found when reading the diff again, not seen on a play: a server that has gone and that peers no longer list was answered as "unavailable", which left open whether this instance is cut off from it. The failure was then not reported, and a dispatcher whose list is behind could grant it again until the request ran out of attempts. Peers now answer as for a server that they do not reach.

--- a/src/daemon/TunnelServer.cpp
+++ b/src/daemon/TunnelServer.cpp
@@ -73,8 +73,9 @@
 {
     setLivenessOptions(tunnel->peer, unacknowledgedBound);
     auto server = state->callbacks.findServer(address);
-    bool refused = state->cutOff || state->leaving || state->stopped || state->tunnels.size() > mostTunnels || !server;
-    bool isOpen = !refused && co_await open(tunnel, *server);
+    bool refused = state->cutOff || state->leaving || state->stopped || state->tunnels.size() > mostTunnels;
+    // A server that this instance does not know is as good as down: most of them have just gone.
+    bool isOpen = !refused && server && co_await open(tunnel, *server);
     auto reply = encodeTunnelFrame(isOpen ? tunnelOpen : refused ? tunnelUnavailable : tunnelServerUnreachable);
     auto [ec, n] = co_await asio::async_write(tunnel->peer, asio::buffer(reply), useTuple);
     if (!ec && isOpen && !state->stopped) {
