--- a/src/entry/ServerConnector.cpp
+++ b/src/entry/ServerConnector.cpp
@@ -19,21 +19,6 @@
 
 } // namespace
 
-std::string_view toString(Reach reach)
-{
-    switch (reach) {
-    case Reach::Direct:
-        return "direct";
-    case Reach::ThroughPeer:
-        return "through_peer";
-    case Reach::Nobody:
-        return "nobody";
-    case Reach::Unknown:
-        break;
-    }
-    return "unknown";
-}
-
 ServerConnector::State::State(asio::any_io_executor anyExecutor, std::uint64_t seed)
     : executor(std::move(anyExecutor))
     , paths(seed)
--- a/src/entry/ServerConnector.h
+++ b/src/entry/ServerConnector.h
@@ -15,8 +15,6 @@
     Unknown, // this instance is cut off, and no peer can tell
 };
 
-std::string_view toString(Reach);
-
 // Opens the connections of one traffic thread to backend servers, through peers where the instance is cut off from the
 // servers. Owned by the CallerService; used on its thread only.
 class ServerConnector {
