Divide src/dispatch into queue, placement, servers and routing

Cause: 48 sources in one folder left open which of them decide, which only know, and who may call whom. No code changes.

--- a/src/daemon/ControlLoop.cpp
+++ b/src/daemon/ControlLoop.cpp
@@ -4,7 +4,7 @@
 #include <random>
 
 #include "daemon/DispatchRumours.h"
-#include "dispatch/AdmissionFloors.h"
+#include "dispatch/queue/AdmissionFloors.h"
 #include "lagoonspoke/core/Overload.h"
 #include "membership/Rendezvous.h"
 #include "observe/LogLine.h"
--- a/src/daemon/ControlLoop.h
+++ b/src/daemon/ControlLoop.h
@@ -6,7 +6,7 @@
 
 #include "daemon/PeerService.h"
 #include "dispatch/Dispatcher.h"
-#include "dispatch/PlacementRouter.h"
+#include "dispatch/routing/PlacementRouter.h"
 #include "fleet/DomainLoad.h"
 #include "http/Asio.h"
 #include "settings/DaemonSettings.h"
--- a/src/daemon/DispatchRumours.h
+++ b/src/daemon/DispatchRumours.h
@@ -2,7 +2,7 @@
 
 #include <optional>
 
-#include "dispatch/PlacementRouter.h"
+#include "dispatch/routing/PlacementRouter.h"
 #include "lagoonspoke/membership/Member.h"
 
 namespace lagoonspoke {
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -1,7 +1,7 @@
 #include "dispatch/Dispatcher.h"
 
-#include "dispatch/BaselineDispatcher.h"
-#include "dispatch/PolicyDispatcher.h"
+#include "dispatch/queue/BaselineDispatcher.h"
+#include "dispatch/queue/PolicyDispatcher.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/SimulatedCluster.h
+++ b/src/dispatch/SimulatedCluster.h
@@ -7,7 +7,7 @@
 
 #include <fmt/format.h>
 
-#include "dispatch/PlacementRouter.h"
+#include "dispatch/routing/PlacementRouter.h"
 #include "lagoonspoke/core/Overload.h"
 
 namespace lagoonspoke {
--- a/src/dispatch/PartHomes.cpp
+++ b/src/dispatch/placement/PartHomes.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/PartHomes.h"
+#include "dispatch/placement/PartHomes.h"
 
 #include <algorithm>
 #include <string_view>
--- a/src/dispatch/PartHomes.h
+++ b/src/dispatch/placement/PartHomes.h
@@ -6,7 +6,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
-#include "dispatch/ServerPool.h"
+#include "dispatch/servers/ServerPool.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/PromptPlacement.cpp
+++ b/src/dispatch/placement/PromptPlacement.cpp
@@ -1,9 +1,9 @@
-#include "dispatch/PromptPlacement.h"
+#include "dispatch/placement/PromptPlacement.h"
 
 #include <algorithm>
 #include <tuple>
 
-#include "dispatch/ServerSelector.h"
+#include "dispatch/placement/ServerSelector.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/PromptPlacement.h
+++ b/src/dispatch/placement/PromptPlacement.h
@@ -4,9 +4,9 @@
 #include <set>
 #include <vector>
 
-#include "dispatch/PartHomes.h"
-#include "dispatch/ServerPool.h"
-#include "dispatch/WaitingRequest.h"
+#include "dispatch/placement/PartHomes.h"
+#include "dispatch/placement/WaitingRequest.h"
+#include "dispatch/servers/ServerPool.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/ServerSelector.h
+++ b/src/dispatch/placement/ServerSelector.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "dispatch/PromptPlacement.h"
-#include "dispatch/ServerPool.h"
-#include "dispatch/WaitingRequest.h"
+#include "dispatch/placement/PromptPlacement.h"
+#include "dispatch/placement/WaitingRequest.h"
+#include "dispatch/servers/ServerPool.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/ServerSelectorTest.cpp
+++ b/src/dispatch/placement/ServerSelectorTest.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/ServerSelector.h"
+#include "dispatch/placement/ServerSelector.h"
 #include "dispatch/DispatcherFixture.h"
 
 #include <catch2/catch.hpp>
--- a/src/dispatch/Admission.cpp
+++ b/src/dispatch/queue/Admission.cpp
@@ -1,8 +1,8 @@
-#include "dispatch/Admission.h"
+#include "dispatch/queue/Admission.h"
 
 #include <algorithm>
 
-#include "dispatch/RequestCost.h"
+#include "dispatch/queue/RequestCost.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/Admission.h
+++ b/src/dispatch/queue/Admission.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dispatch/DispatchState.h"
+#include "dispatch/queue/DispatchState.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/AdmissionFloors.cpp
+++ b/src/dispatch/queue/AdmissionFloors.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/AdmissionFloors.h"
+#include "dispatch/queue/AdmissionFloors.h"
 
 #include <algorithm>
 
--- a/src/dispatch/ArrivalMeter.cpp
+++ b/src/dispatch/queue/ArrivalMeter.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/ArrivalMeter.h"
+#include "dispatch/queue/ArrivalMeter.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/dispatch/BaselineDispatcher.cpp
+++ b/src/dispatch/queue/BaselineDispatcher.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/BaselineDispatcher.h"
+#include "dispatch/queue/BaselineDispatcher.h"
 
 #include <algorithm>
 
--- a/src/dispatch/DeathConfirmation.h
+++ b/src/dispatch/queue/DeathConfirmation.h
@@ -4,8 +4,8 @@
 
 #include <absl/container/flat_hash_map.h>
 
-#include "dispatch/GrantTable.h"
-#include "dispatch/PartQuarantine.h"
+#include "dispatch/queue/GrantTable.h"
+#include "dispatch/servers/PartQuarantine.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/DeathConfirmationTest.cpp
+++ b/src/dispatch/queue/DeathConfirmationTest.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/DeathConfirmation.h"
+#include "dispatch/queue/DeathConfirmation.h"
 
 #include <catch2/catch.hpp>
 
--- a/src/dispatch/DispatchState.cpp
+++ b/src/dispatch/queue/DispatchState.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/DispatchState.h"
+#include "dispatch/queue/DispatchState.h"
 
 #include <algorithm>
 
--- a/src/dispatch/DispatchState.h
+++ b/src/dispatch/queue/DispatchState.h
@@ -4,22 +4,22 @@
 #include <map>
 #include <vector>
 
-#include "dispatch/AdmissionFloors.h"
 #include "dispatch/DispatchCounters.h"
 #include "dispatch/DispatchOptions.h"
-#include "dispatch/DispatchRetryBudget.h"
 #include "dispatch/Dispatcher.h"
-#include "dispatch/GrantTable.h"
-#include "dispatch/LengthPredictor.h"
-#include "dispatch/LoadMeter.h"
-#include "dispatch/PartQuarantine.h"
-#include "dispatch/Quarantine.h"
-#include "dispatch/ServerPool.h"
-#include "dispatch/ServerSelector.h"
-#include "dispatch/ServiceTimes.h"
-#include "dispatch/TeamLimiter.h"
-#include "dispatch/TierQueue.h"
-#include "dispatch/TierShares.h"
+#include "dispatch/placement/ServerSelector.h"
+#include "dispatch/queue/AdmissionFloors.h"
+#include "dispatch/queue/DispatchRetryBudget.h"
+#include "dispatch/queue/GrantTable.h"
+#include "dispatch/queue/LengthPredictor.h"
+#include "dispatch/queue/LoadMeter.h"
+#include "dispatch/queue/TeamLimiter.h"
+#include "dispatch/queue/TierQueue.h"
+#include "dispatch/queue/TierShares.h"
+#include "dispatch/servers/PartQuarantine.h"
+#include "dispatch/servers/Quarantine.h"
+#include "dispatch/servers/ServerPool.h"
+#include "dispatch/servers/ServiceTimes.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/GrantScheduler.cpp
+++ b/src/dispatch/queue/GrantScheduler.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/GrantScheduler.h"
+#include "dispatch/queue/GrantScheduler.h"
 
 #include <algorithm>
 
--- a/src/dispatch/GrantScheduler.h
+++ b/src/dispatch/queue/GrantScheduler.h
@@ -2,7 +2,7 @@
 
 #include <absl/container/flat_hash_set.h>
 
-#include "dispatch/DispatchState.h"
+#include "dispatch/queue/DispatchState.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/GrantTable.cpp
+++ b/src/dispatch/queue/GrantTable.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/GrantTable.h"
+#include "dispatch/queue/GrantTable.h"
 
 #include <algorithm>
 
--- a/src/dispatch/GrantTracker.cpp
+++ b/src/dispatch/queue/GrantTracker.cpp
@@ -1,8 +1,8 @@
-#include "dispatch/GrantTracker.h"
+#include "dispatch/queue/GrantTracker.h"
 
 #include <algorithm>
 
-#include "dispatch/RequestCost.h"
+#include "dispatch/queue/RequestCost.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/GrantTracker.h
+++ b/src/dispatch/queue/GrantTracker.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "dispatch/Admission.h"
-#include "dispatch/DeathConfirmation.h"
-#include "dispatch/DispatchState.h"
-#include "dispatch/GrantScheduler.h"
-#include "dispatch/Preemptor.h"
+#include "dispatch/queue/Admission.h"
+#include "dispatch/queue/DeathConfirmation.h"
+#include "dispatch/queue/DispatchState.h"
+#include "dispatch/queue/GrantScheduler.h"
+#include "dispatch/queue/Preemptor.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/LengthPredictorTest.cpp
+++ b/src/dispatch/queue/LengthPredictorTest.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/LengthPredictor.h"
+#include "dispatch/queue/LengthPredictor.h"
 
 #include <catch2/catch.hpp>
 
--- a/src/dispatch/LoadMeter.cpp
+++ b/src/dispatch/queue/LoadMeter.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/LoadMeter.h"
+#include "dispatch/queue/LoadMeter.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/dispatch/PolicyDispatcher.cpp
+++ b/src/dispatch/queue/PolicyDispatcher.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/PolicyDispatcher.h"
+#include "dispatch/queue/PolicyDispatcher.h"
 
 #include <algorithm>
 
--- a/src/dispatch/PolicyDispatcher.h
+++ b/src/dispatch/queue/PolicyDispatcher.h
@@ -3,12 +3,12 @@
 #include <optional>
 #include <vector>
 
-#include "dispatch/Admission.h"
-#include "dispatch/DispatchState.h"
-#include "dispatch/GrantScheduler.h"
-#include "dispatch/GrantTracker.h"
-#include "dispatch/Preemptor.h"
-#include "dispatch/Shedder.h"
+#include "dispatch/queue/Admission.h"
+#include "dispatch/queue/DispatchState.h"
+#include "dispatch/queue/GrantScheduler.h"
+#include "dispatch/queue/GrantTracker.h"
+#include "dispatch/queue/Preemptor.h"
+#include "dispatch/queue/Shedder.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/Preemptor.cpp
+++ b/src/dispatch/queue/Preemptor.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/Preemptor.h"
+#include "dispatch/queue/Preemptor.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/dispatch/Preemptor.h
+++ b/src/dispatch/queue/Preemptor.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/TokenBucket.h"
-#include "dispatch/DispatchState.h"
+#include "dispatch/queue/DispatchState.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/Shedder.cpp
+++ b/src/dispatch/queue/Shedder.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/Shedder.h"
+#include "dispatch/queue/Shedder.h"
 
 #include <algorithm>
 
--- a/src/dispatch/TeamLimiter.cpp
+++ b/src/dispatch/queue/TeamLimiter.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/TeamLimiter.h"
+#include "dispatch/queue/TeamLimiter.h"
 
 #include <algorithm>
 
--- a/src/dispatch/TierQueue.cpp
+++ b/src/dispatch/queue/TierQueue.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/TierQueue.h"
+#include "dispatch/queue/TierQueue.h"
 
 #include <algorithm>
 #include <cassert>
--- a/src/dispatch/TierQueue.h
+++ b/src/dispatch/queue/TierQueue.h
@@ -7,7 +7,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
-#include "dispatch/WaitingRequest.h"
+#include "dispatch/placement/WaitingRequest.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/TierShares.cpp
+++ b/src/dispatch/queue/TierShares.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/TierShares.h"
+#include "dispatch/queue/TierShares.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/dispatch/TierShares.h
+++ b/src/dispatch/queue/TierShares.h
@@ -2,7 +2,7 @@
 
 #include <map>
 
-#include "dispatch/ArrivalMeter.h"
+#include "dispatch/queue/ArrivalMeter.h"
 #include "lagoonspoke/config/Configuration.h"
 
 namespace lagoonspoke {
--- a/src/dispatch/FallbackPlacer.cpp
+++ b/src/dispatch/routing/FallbackPlacer.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/FallbackPlacer.h"
+#include "dispatch/routing/FallbackPlacer.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/dispatch/FallbackPlacer.h
+++ b/src/dispatch/routing/FallbackPlacer.h
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "dispatch/Dispatcher.h"
-#include "dispatch/RejectionGuard.h"
-#include "dispatch/RequestLimit.h"
-#include "dispatch/RequestTurns.h"
+#include "dispatch/servers/RejectionGuard.h"
+#include "dispatch/servers/RequestLimit.h"
+#include "dispatch/servers/RequestTurns.h"
 #include "lagoonspoke/dispatch/BackendServer.h"
 #include "lagoonspoke/dispatch/Messages.h"
 
--- a/src/dispatch/PlacementRouter.cpp
+++ b/src/dispatch/routing/PlacementRouter.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/PlacementRouter.h"
+#include "dispatch/routing/PlacementRouter.h"
 
 #include <algorithm>
 
--- a/src/dispatch/PlacementRouter.h
+++ b/src/dispatch/routing/PlacementRouter.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "dispatch/Dispatcher.h"
-#include "dispatch/FallbackPlacer.h"
-#include "dispatch/ServerSignals.h"
+#include "dispatch/routing/FallbackPlacer.h"
+#include "dispatch/servers/ServerSignals.h"
 #include "lagoonspoke/dispatch/PlacementMessage.h"
 #include "lagoonspoke/membership/Member.h"
 
--- a/src/dispatch/PlacementRouterRequests.cpp
+++ b/src/dispatch/routing/PlacementRouterRequests.cpp
@@ -1,5 +1,5 @@
 // The part of PlacementRouter that manages the requests of this instance's callers.
-#include "dispatch/PlacementRouter.h"
+#include "dispatch/routing/PlacementRouter.h"
 
 #include <algorithm>
 
--- a/src/dispatch/PartQuarantine.cpp
+++ b/src/dispatch/servers/PartQuarantine.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/PartQuarantine.h"
+#include "dispatch/servers/PartQuarantine.h"
 
 #include <algorithm>
 
--- a/src/dispatch/PrefixCacheTest.cpp
+++ b/src/dispatch/servers/PrefixCacheTest.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/PrefixCache.h"
+#include "dispatch/servers/PrefixCache.h"
 
 #include <catch2/catch.hpp>
 
--- a/src/dispatch/PrefixIndex.cpp
+++ b/src/dispatch/servers/PrefixIndex.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/PrefixIndex.h"
+#include "dispatch/servers/PrefixIndex.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/Quarantine.cpp
+++ b/src/dispatch/servers/Quarantine.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/Quarantine.h"
+#include "dispatch/servers/Quarantine.h"
 
 #include <algorithm>
 
--- a/src/dispatch/RejectionGuard.cpp
+++ b/src/dispatch/servers/RejectionGuard.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/RejectionGuard.h"
+#include "dispatch/servers/RejectionGuard.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/RejectionGuard.h
+++ b/src/dispatch/servers/RejectionGuard.h
@@ -2,7 +2,7 @@
 
 #include <deque>
 
-#include "dispatch/RequestLimit.h"
+#include "dispatch/servers/RequestLimit.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/RejectionGuardTest.cpp
+++ b/src/dispatch/servers/RejectionGuardTest.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/RejectionGuard.h"
+#include "dispatch/servers/RejectionGuard.h"
 
 #include <deque>
 #include <set>
@@ -6,7 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "dispatch/DispatcherFixture.h"
-#include "dispatch/FallbackPlacer.h"
+#include "dispatch/routing/FallbackPlacer.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/RequestLimitTest.cpp
+++ b/src/dispatch/servers/RequestLimitTest.cpp
@@ -4,7 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "dispatch/DispatcherFixture.h"
-#include "dispatch/FallbackPlacer.h"
+#include "dispatch/routing/FallbackPlacer.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/RequestLimiter.cpp
+++ b/src/dispatch/servers/RequestLimiter.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/RequestLimiter.h"
+#include "dispatch/servers/RequestLimiter.h"
 
 #include <algorithm>
 
--- a/src/dispatch/RequestLimiter.h
+++ b/src/dispatch/servers/RequestLimiter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/TokenBucket.h"
-#include "dispatch/RequestLimit.h"
+#include "dispatch/servers/RequestLimit.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/RequestTurns.cpp
+++ b/src/dispatch/servers/RequestTurns.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/RequestTurns.h"
+#include "dispatch/servers/RequestTurns.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/dispatch/ServerHealth.cpp
+++ b/src/dispatch/servers/ServerHealth.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/ServerHealth.h"
+#include "dispatch/servers/ServerHealth.h"
 
 #include <algorithm>
 
--- a/src/dispatch/ServerPool.cpp
+++ b/src/dispatch/servers/ServerPool.cpp
@@ -1,9 +1,9 @@
-#include "dispatch/ServerPool.h"
+#include "dispatch/servers/ServerPool.h"
 
 #include <algorithm>
 #include <cmath>
 
-#include "dispatch/ServerSelector.h"
+#include "dispatch/placement/ServerSelector.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/ServerPool.h
+++ b/src/dispatch/servers/ServerPool.h
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "dispatch/DispatchOptions.h"
-#include "dispatch/ServerState.h"
+#include "dispatch/servers/ServerState.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/ServerSignalsTest.cpp
+++ b/src/dispatch/servers/ServerSignalsTest.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/ServerSignals.h"
+#include "dispatch/servers/ServerSignals.h"
 
 #include <catch2/catch.hpp>
 
--- a/src/dispatch/ServerState.cpp
+++ b/src/dispatch/servers/ServerState.cpp
@@ -1,8 +1,8 @@
-#include "dispatch/ServerState.h"
+#include "dispatch/servers/ServerState.h"
 
 #include <algorithm>
 
-#include "dispatch/ServerSelector.h"
+#include "dispatch/placement/ServerSelector.h"
 
 namespace lagoonspoke {
 
--- a/src/dispatch/ServerState.h
+++ b/src/dispatch/servers/ServerState.h
@@ -3,11 +3,11 @@
 #include <optional>
 #include <set>
 
-#include "dispatch/PrefixCache.h"
-#include "dispatch/PrefixIndex.h"
-#include "dispatch/RejectionGuard.h"
-#include "dispatch/RequestLimiter.h"
-#include "dispatch/ServerHealth.h"
+#include "dispatch/servers/PrefixCache.h"
+#include "dispatch/servers/PrefixIndex.h"
+#include "dispatch/servers/RejectionGuard.h"
+#include "dispatch/servers/RequestLimiter.h"
+#include "dispatch/servers/ServerHealth.h"
 #include "lagoonspoke/dispatch/BackendServer.h"
 
 namespace lagoonspoke {
--- a/src/dispatch/ServiceTimes.cpp
+++ b/src/dispatch/servers/ServiceTimes.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/ServiceTimes.h"
+#include "dispatch/servers/ServiceTimes.h"
 
 #include <algorithm>
 
