Point the includes of src/dispatch in one direction

Cause: what is known of servers included the selector for two formulas, so two arrows of the include graph ran back up.

--- a/src/dispatch/placement/PromptPlacement.cpp
+++ b/src/dispatch/placement/PromptPlacement.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <tuple>
 
-#include "dispatch/placement/ServerSelector.h"
+#include "dispatch/servers/ReadingCost.h"
 
 namespace lagoonspoke {
 
@@ -56,7 +56,7 @@
 Duration PromptPlacement::readingTime(const ServerState& state, Tokens uncached) const
 {
     return fromSeconds(static_cast<double>(uncached.count) * state.secondsPerPromptToken()
-        * ServerSelector::loadFactor(state.inFlight, state.server.slots));
+        * loadFactor(state.inFlight, state.server.slots));
 }
 
 Duration PromptPlacement::slotWait(ServerState& state, MonotonicTime now) const
@@ -243,7 +243,7 @@
     if (state.health.isEjected()) {
         return -1;
     }
-    auto factor = ServerSelector::loadFactor(state.inFlight, state.server.slots);
+    auto factor = loadFactor(state.inFlight, state.server.slots);
     return (state.pendingWork * state.secondsPerPromptToken() + idleReadingSeconds) * factor;
 }
 
--- a/src/dispatch/placement/ServerSelector.cpp
+++ b/src/dispatch/placement/ServerSelector.cpp
@@ -3,12 +3,12 @@
 #include <algorithm>
 #include <tuple>
 
+#include "dispatch/servers/ReadingCost.h"
+
 namespace lagoonspoke {
 
 namespace {
 
-// Fixed cost of a request in prompt tokens: connection, tokenisation and the first decode step.
-constexpr double requestOverheadTokens = 64;
 // Intervals at which an idle slow server gets one trial request to detect its recovery. After the first one, only a
 // request whose target is further away than that interval is used; after the second one, any request.
 constexpr Duration slowTrialInterval = std::chrono::seconds(5);
@@ -18,16 +18,6 @@
 
 } // namespace
 
-double ServerSelector::promptWork(std::int64_t uncachedTokens)
-{
-    return static_cast<double>(uncachedTokens) + requestOverheadTokens;
-}
-
-double ServerSelector::loadFactor(int inFlight, int slots)
-{
-    return 1.0 + static_cast<double>(inFlight) / std::max(1, slots);
-}
-
 std::int64_t ServerSelector::uncachedTokens(const ServerState& state, const PlaceRequest& place) const
 {
     if (place.prefix.empty() || !m_options.usePrefixIndex) {
--- a/src/dispatch/placement/ServerSelector.h
+++ b/src/dispatch/placement/ServerSelector.h
@@ -31,10 +31,6 @@
 
     // Prompt tokens not found in the server's prefix cache.
     std::int64_t uncachedTokens(const ServerState&, const PlaceRequest&) const;
-    // Work until the first token, in prompt tokens, including the fixed cost of a request.
-    static double promptWork(std::int64_t uncachedTokens);
-    // Factor by which other requests in flight delay the first token.
-    static double loadFactor(int inFlight, int slots);
 
 private:
     bool isExcluded(const ServerState&, const PlaceRequest&) const;
--- a/src/dispatch/queue/GrantScheduler.cpp
+++ b/src/dispatch/queue/GrantScheduler.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "dispatch/servers/ReadingCost.h"
+
 namespace lagoonspoke {
 
 namespace {
@@ -227,7 +229,7 @@
     granted.server = server.server.id;
     granted.grantedAt = granted.lastProgress = now;
     granted.charged = waiting->cost;
-    granted.promptWork = ServerSelector::promptWork(m_state.selector.uncachedTokens(server, granted.place));
+    granted.promptWork = promptWork(m_state.selector.uncachedTokens(server, granted.place));
     granted.queuedPromptWork = server.pendingWork;
     m_state.load.recordReading(fromSeconds(granted.promptWork * server.secondsPerPromptToken()), now);
     m_state.times.recordPromptWork(granted.place.className, granted.place.tier, granted.promptWork);
--- a/src/dispatch/servers/ServerPool.cpp
+++ b/src/dispatch/servers/ServerPool.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "dispatch/placement/ServerSelector.h"
+#include "dispatch/servers/ReadingCost.h"
 
 namespace lagoonspoke {
 
@@ -206,7 +206,7 @@
     double sum = 0;
     for (const auto& [id, state] : m_servers) {
         if (isUsable(state)) {
-            sum += 1 / (state.secondsPerPromptToken() * ServerSelector::loadFactor(state.inFlight, state.server.slots));
+            sum += 1 / (state.secondsPerPromptToken() * loadFactor(state.inFlight, state.server.slots));
         }
     }
     return sum;
--- a/src/dispatch/servers/ServerState.cpp
+++ b/src/dispatch/servers/ServerState.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "dispatch/placement/ServerSelector.h"
+#include "dispatch/servers/ReadingCost.h"
 
 namespace lagoonspoke {
 
@@ -42,7 +42,7 @@
         m_newestObservation = now;
         return;
     }
-    double sample = toSeconds(time) / (work * ServerSelector::loadFactor(inFlightAtGrant, server.slots));
+    double sample = toSeconds(time) / (work * loadFactor(inFlightAtGrant, server.slots));
     m_secondsPerPromptToken
         += (m_isPromptEngine && !m_measured ? weightOfFirst : weightOfNewest) * (sample - m_secondsPerPromptToken);
     m_measured = true;
