Limit the rate of requests to servers that are or may become cold

Change: ColdRateLimit bounds a dispatcher's grants to each server of a target with a cold rate, at a lower rate while the server's entry says that it is cold; local placement has turns within the rest; a dispatcher uses its part by the share of the known instances that it is connected to. On where the settings carry cold_rate_factor.

--- a/include/lagoonspoke/config/Configuration.h
+++ b/include/lagoonspoke/config/Configuration.h
@@ -80,11 +80,15 @@
     // Tokens of running requests and cached prefixes that one backend server holds; 0 when unknown.
     Tokens memoryPerServer = {};
     Tokens contextLimit { 32768 };
+    // Requests per second that a cold server tolerates, from all instances together; 0 for any number.
+    double coldRequestsPerSecond = 0;
 };
 
 struct ServiceSpec {
     TargetName name;
     int slotsPerServer = 32;
+    // See DeploymentSpec.
+    double coldRequestsPerSecond = 0;
 };
 
 // Part of a route's requests that one target serves.
--- a/include/lagoonspoke/dispatch/BackendServer.h
+++ b/include/lagoonspoke/dispatch/BackendServer.h
@@ -4,9 +4,18 @@
 #include <string>
 
 #include "lagoonspoke/core/Ids.h"
+#include "lagoonspoke/core/Time.h"
 
 namespace lagoonspoke {
 
+// The requests that a cold backend server tolerates from all instances together.
+struct ColdTolerance {
+    double requestsPerSecond = 0; // sustained
+    double requestsInOneSecond = 0; // in any one second; with more it may crash
+
+    bool operator==(const ColdTolerance&) const = default;
+};
+
 // A backend server, as listed by the platform's instance list.
 struct BackendServer {
     BackendServerId id;
@@ -19,6 +28,10 @@
     // The list no longer names it, but may do so again in a moment, as after an outage of the list's store.
     bool lapsed = false;
     SoftwareVersion softwareVersion {};
+    // The server is cold until then: it has just started, or lost what makes it fast.
+    MonotonicTime coldUntil {};
+    // Absent for a server that is never cold, or tolerates any rate.
+    std::optional<ColdTolerance> coldTolerance {};
 
     bool operator==(const BackendServer&) const = default;
 };
--- a/src/config/ObjectReader.cpp
+++ b/src/config/ObjectReader.cpp
@@ -115,6 +115,7 @@
     deployment.allowCheap = spec.readBool("allow_spot", deployment.allowCheap);
     deployment.contextLimit.count
         = spec.readInteger("context_limit_tokens", 1, 100'000'000, deployment.contextLimit.count);
+    deployment.coldRequestsPerSecond = readDecimal(spec, "cold_requests_per_second", 0, maxRate, 0);
     if (deployment.maxServers < deployment.minServers) {
         spec.report("max_servers", "must not be less than min_servers");
     }
@@ -126,6 +127,7 @@
     ServiceSpec service;
     service.name = TargetName(name);
     service.slotsPerServer = static_cast<int>(spec.readInteger("slots_per_server", 1, 4096, service.slotsPerServer));
+    service.coldRequestsPerSecond = readDecimal(spec, "cold_requests_per_second", 0, maxRate, 0);
     return service;
 }
 
--- a/src/config/ObjectWriter.cpp
+++ b/src/config/ObjectWriter.cpp
@@ -60,17 +60,29 @@
         { "classes", writeIds(team.classes) } };
 }
 
+// Earlier releases refuse fields that they do not know, so the field is written only where it says something.
+void writeColdRate(json::object& spec, double requestsPerSecond)
+{
+    if (requestsPerSecond > 0) {
+        spec["cold_requests_per_second"] = requestsPerSecond;
+    }
+}
+
 json::object writeSpec(const DeploymentSpec& deployment)
 {
-    return { { "version", deployment.version }, { "adapters", writeStrings(deployment.adapters) },
+    json::object spec { { "version", deployment.version }, { "adapters", writeStrings(deployment.adapters) },
         { "slots_per_server", deployment.slotsPerServer }, { "min_servers", deployment.minServers },
         { "max_servers", deployment.maxServers }, { "allow_spot", deployment.allowCheap },
         { "context_limit_tokens", deployment.contextLimit.count } };
+    writeColdRate(spec, deployment.coldRequestsPerSecond);
+    return spec;
 }
 
 json::object writeSpec(const ServiceSpec& service)
 {
-    return { { "slots_per_server", service.slotsPerServer } };
+    json::object spec { { "slots_per_server", service.slotsPerServer } };
+    writeColdRate(spec, service.coldRequestsPerSecond);
+    return spec;
 }
 
 json::object writeSpec(const RouteSpec& route)
--- a/src/daemon/ControlLoop.cpp
+++ b/src/daemon/ControlLoop.cpp
@@ -61,6 +61,23 @@
         m_regions[member.dataCentre] = member.region;
     }
     route(MembersUpdated { members });
+    if (m_settings.coldRateFactor) {
+        tellAll([share = connectedShare()](const DomainId&) { return ConnectedShareChanged { share }; });
+    }
+}
+
+// Dead members count as known: they may be alive on the other side of a partition.
+double ControlLoop::connectedShare() const
+{
+    std::size_t known = 0;
+    std::size_t connected = 0;
+    for (const auto& member : m_peers.members()) {
+        if (member.region == m_settings.region) {
+            ++known;
+            connected += isEligible(member) ? 1 : 0;
+        }
+    }
+    return known > 0 ? static_cast<double>(connected) / static_cast<double>(known) : 1;
 }
 
 void ControlLoop::handlePeerLost(const InstanceId& peer)
@@ -97,12 +114,49 @@
 {
     m_snapshot = std::move(snapshot);
     tellAll([&](const DomainId&) { return ConfigurationChanged { m_snapshot }; });
+    if (updateColdTolerances()) {
+        distributeServers();
+    }
+}
+
+std::optional<ColdTolerance> ControlLoop::coldToleranceOf(const TargetName& target) const
+{
+    if (!m_settings.coldRateFactor || !m_snapshot) {
+        return std::nullopt;
+    }
+    const auto& configuration = m_snapshot->configuration();
+    double rate = 0;
+    if (auto deployment = configuration.deployments.find(target); deployment != configuration.deployments.end()) {
+        rate = deployment->second.coldRequestsPerSecond;
+    } else if (auto service = configuration.services.find(target); service != configuration.services.end()) {
+        rate = service->second.coldRequestsPerSecond;
+    }
+    if (rate <= 0) {
+        return std::nullopt;
+    }
+    return ColdTolerance { rate, rate * *m_settings.coldRateFactor + m_settings.coldRateSlack };
+}
+
+bool ControlLoop::updateColdTolerances()
+{
+    bool changed = false;
+    for (auto& server : m_servers) {
+        auto tolerance = coldToleranceOf(server.target);
+        changed = std::exchange(server.coldTolerance, tolerance) != tolerance || changed;
+    }
+    return changed;
 }
 
 void ControlLoop::applyServers(std::vector<BackendServer> servers)
 {
     logServerChanges(servers);
     m_servers = std::move(servers);
+    updateColdTolerances();
+    distributeServers();
+}
+
+void ControlLoop::distributeServers()
+{
     std::vector<BackendServer> ownRegion;
     for (const auto& server : m_servers) {
         if (regionOfServer(server) == m_settings.region) {
@@ -173,6 +227,9 @@
         if (m_snapshot) {
             execute(domain, it->second.handle(ConfigurationChanged { m_snapshot }, now));
         }
+        if (m_settings.coldRateFactor) {
+            execute(domain, it->second.handle(ConnectedShareChanged { connectedShare() }, now));
+        }
         execute(domain, it->second.handle(ServersChanged { serversOf(domain) }, now));
         for (const auto& quarantine : m_router.quarantines(now)) {
             execute(domain, it->second.handle(quarantine, now));
--- a/src/daemon/ControlLoop.h
+++ b/src/daemon/ControlLoop.h
@@ -46,6 +46,13 @@
 
     Dispatcher& dispatcherOf(const DomainId&);
     std::vector<BackendServer> serversOf(const DomainId&) const;
+    // Tells the router and all dispatchers of the servers.
+    void distributeServers();
+    // What a cold server of the target tolerates, by the configuration and the settings.
+    std::optional<ColdTolerance> coldToleranceOf(const TargetName&) const;
+    // Writes the tolerances of the present configuration into the servers; returns whether any changed.
+    bool updateColdTolerances();
+    double connectedShare() const;
     RegionId regionOfServer(const BackendServer&) const;
     void route(const RouterEvent&);
     void execute(RouterAction&);
--- a/src/daemon/ControlLoopLog.cpp
+++ b/src/daemon/ControlLoopLog.cpp
@@ -55,6 +55,7 @@
             .add("target", server.target.value())
             .add("revision", m_peers.serversRevision());
     };
+    auto now = readMonotonicClock();
     std::map<BackendServerId, const BackendServer*> removed;
     for (const auto& server : m_servers) {
         removed.emplace(server.id, &server);
@@ -62,6 +63,13 @@
     for (const auto& server : servers) {
         auto before = removed.extract(server.id);
         bool wasLeaving = before && before.mapped()->leaving;
+        if (server.coldUntil > now && (!before || before.mapped()->coldUntil <= now)) {
+            LogLine(LogLevel::Info, "backend_server_cold")
+                .add("server", server.id.value())
+                .add("data_centre", server.dataCentre.value())
+                .add("remaining_ms", toMilliseconds(server.coldUntil - now))
+                .add("revision", m_peers.serversRevision());
+        }
         if (server.leaving && !wasLeaving) {
             log("backend_server_leaving", server);
         } else if (!server.leaving && wasLeaving) {
@@ -127,6 +135,7 @@
             .add("leaving", summary.leavingServers)
             .add("ejected", summary.ejectedServers)
             .add("limited", summary.limitedServers)
+            .add("cold", summary.coldServers)
             .add("isolated", summary.isolatedServers)
             .add("busy_slots", summary.busySlots)
             .add("reading", summary.serversWithUnreadPrompts)
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -68,8 +68,13 @@
     Tier floor;
 };
 
+// The part of the region's known instances that this one is connected to, 0 to 1.
+struct ConnectedShareChanged {
+    double share = 1;
+};
+
 using DispatchEvent = std::variant<EntryMessageReceived, EntryLost, ServersChanged, ConfigurationChanged, LoadReported,
-    CacheEventsReported, QuarantineReceived, FloorReceived>;
+    CacheEventsReported, QuarantineReceived, FloorReceived, ConnectedShareChanged>;
 
 // The values that a refusal was based on, for the log.
 struct RefusalInputs {
@@ -140,6 +145,7 @@
     int leavingServers = 0;
     int ejectedServers = 0;
     int limitedServers = 0; // that name a request limit
+    int coldServers = 0;
     int isolatedServers = 0; // reserved for a suspect request, or running one
     int busySlots = 0;
     int serversWithUnreadPrompts = 0; // with prompts that are not fully read yet
--- a/src/dispatch/placement/PromptPlacement.cpp
+++ b/src/dispatch/placement/PromptPlacement.cpp
@@ -65,7 +65,7 @@
         return Duration(0);
     }
     if (state.limitReached) {
-        return state.limit.waitBehind(state.promisedSlots, now);
+        return state.waitForLimits(state.promisedSlots, now);
     }
     return m_meanSlotTime * (state.promisedSlots + 1) / std::max(1, state.usableSlots);
 }
--- a/src/dispatch/queue/GrantScheduler.cpp
+++ b/src/dispatch/queue/GrantScheduler.cpp
@@ -250,6 +250,7 @@
     }
     ++server.inFlight;
     server.limit.recordGrant(now);
+    server.coldLimit.recordGrant(now);
     server.rejections.recordGrant(now);
     server.limitReached = !server.isWithinLimits(now);
     --m_freeSlots;
--- a/src/dispatch/queue/PolicyDispatcher.cpp
+++ b/src/dispatch/queue/PolicyDispatcher.cpp
@@ -76,6 +76,7 @@
                 m_admission.applyPartState({ peerQuarantine.fingerprint }, now);
             },
             [&](const FloorReceived& peerFloor) { m_state.floors.receive(peerFloor.from, peerFloor.floor, now); },
+            [&](const ConnectedShareChanged& changed) { m_state.pool.setConnectedShare(changed.share); },
         },
         event);
     return advance(now);
@@ -365,6 +366,7 @@
         summary.leavingServers += state.server.leaving ? 1 : 0;
         summary.ejectedServers += state.health.isEjected() ? 1 : 0;
         summary.limitedServers += state.limit.rate() ? 1 : 0;
+        summary.coldServers += state.isCold(m_lastAdvance) ? 1 : 0;
         summary.isolatedServers += state.isolated ? 1 : 0;
         summary.busySlots += state.inFlight;
         summary.serversWithUnreadPrompts += state.pendingWork > 0 ? 1 : 0;
--- a/src/dispatch/routing/FallbackPlacer.cpp
+++ b/src/dispatch/routing/FallbackPlacer.cpp
@@ -35,6 +35,7 @@
     }
     std::erase_if(m_limits, [&](const auto& it) { return !isListed(it.first); });
     std::erase_if(m_rejections, [&](const auto& it) { return !isListed(it.first); });
+    std::erase_if(m_coldTurns, [&](const auto& it) { return !isListed(it.first); });
 }
 
 bool FallbackPlacer::recordRejectionLimit(
@@ -126,13 +127,26 @@
     return it != m_servers.end() ? it->leaving : std::ranges::count(m_departed, id) > 0;
 }
 
-bool FallbackPlacer::isWithinLimits(const BackendServerId& server, MonotonicTime now)
+bool FallbackPlacer::isWithinColdLimit(const BackendServer& server, MonotonicTime now)
 {
-    if (auto guard = m_rejections.find(server);
+    auto rate = ColdRateLimit::localRate(server, now);
+    if (!rate) {
+        return true;
+    }
+    const auto& turns = m_coldTurns.try_emplace(server.id, m_random()).first->second;
+    return turns.hasTurn(rate->perSecond / static_cast<double>(m_knownInstanceCount), now);
+}
+
+bool FallbackPlacer::isWithinLimits(const BackendServer& server, MonotonicTime now)
+{
+    if (auto guard = m_rejections.find(server.id);
         guard != m_rejections.end() && !guard->second.hasRoom(m_instanceCount, now)) {
         return false;
     }
-    auto it = m_limits.find(server);
+    if (!isWithinColdLimit(server, now)) {
+        return false;
+    }
+    auto it = m_limits.find(server.id);
     if (it == m_limits.end() || !it->second.limit.rate()) {
         return true;
     }
@@ -208,7 +222,7 @@
     for (const auto* server : serversOf(place.domain)) {
         slots += static_cast<std::size_t>(server->slots);
         if (fitsVersion(*server, place.softwareVersion) && inFlightOn(server->id) < server->slots
-            && !std::ranges::count(place.excluded, server->id) && isWithinLimits(server->id, now)) {
+            && !std::ranges::count(place.excluded, server->id) && isWithinLimits(*server, now)) {
             available.push_back(server);
         }
     }
@@ -228,6 +242,9 @@
     if (auto it = m_rejections.find(chosen->id); it != m_rejections.end()) {
         it->second.recordGrant(now);
     }
+    if (auto it = m_coldTurns.find(chosen->id); it != m_coldTurns.end()) {
+        it->second.take(now);
+    }
     return chosen;
 }
 
--- a/src/dispatch/routing/FallbackPlacer.h
+++ b/src/dispatch/routing/FallbackPlacer.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "dispatch/Dispatcher.h"
+#include "dispatch/servers/ColdRateLimit.h"
 #include "dispatch/servers/RejectionGuard.h"
 #include "dispatch/servers/RequestLimit.h"
 #include "dispatch/servers/RequestTurns.h"
@@ -32,6 +33,8 @@
     // The slots of a domain are divided among this number of instances of the region, which may all place locally at
     // the same time.
     void setInstanceCount(std::size_t n) { m_instanceCount = std::max<std::size_t>(n, 1); }
+    // All instances of the region, also those that are not known to live: they may be on the other side of a partition.
+    void setKnownInstanceCount(std::size_t n) { m_knownInstanceCount = std::max<std::size_t>(n, 1); }
     void receiveFloor(const DomainId&, const InstanceId& from, Tier, MonotonicTime now);
     void receiveQuarantine(const QuarantineReceived&, MonotonicTime now);
     // The quarantines in force, of all dispatchers.
@@ -71,7 +74,8 @@
 private:
     bool admits(const PlaceRequest&, MonotonicTime now) const;
     int inFlightOn(const BackendServerId&) const;
-    bool isWithinLimits(const BackendServerId&, MonotonicTime now);
+    bool isWithinLimits(const BackendServer&, MonotonicTime now);
+    bool isWithinColdLimit(const BackendServer&, MonotonicTime now);
     bool isListed(const BackendServerId&, const DomainId&) const;
 
     struct Floor {
@@ -81,6 +85,7 @@
 
     std::mt19937_64 m_random;
     std::size_t m_instanceCount = 1;
+    std::size_t m_knownInstanceCount = 1;
     std::vector<BackendServer> m_servers;
     std::deque<BackendServerId> m_departed; // no longer listed, the latest at the back
     std::map<DomainId, std::map<InstanceId, Floor>> m_floors;
@@ -96,6 +101,7 @@
     };
     std::map<BackendServerId, LimitShare> m_limits;
     std::map<BackendServerId, RejectionGuard> m_rejections;
+    std::map<BackendServerId, RequestTurns> m_coldTurns; // of servers with a cold tolerance
 };
 
 } // namespace lagoonspoke
--- a/src/dispatch/routing/PlacementRouter.cpp
+++ b/src/dispatch/routing/PlacementRouter.cpp
@@ -302,6 +302,8 @@
     const auto* self = findMember(members, m_options.self);
     m_fallback.setInstanceCount(static_cast<std::size_t>(std::ranges::count_if(
         members, [&](const Member& it) { return isEligible(it) && (!self || it.region == self->region); })));
+    m_fallback.setKnownInstanceCount(static_cast<std::size_t>(
+        std::ranges::count_if(members, [&](const Member& it) { return !self || it.region == self->region; })));
     for (const auto& member : before) {
         if (member.id != m_options.self && isLost(member, members)) {
             handleEntryLost(member.id, now);
--- a/src/dispatch/servers/ServerPool.cpp
+++ b/src/dispatch/servers/ServerPool.cpp
@@ -92,8 +92,10 @@
             }
         }
         state.sustainedSlots = state.usableSlots;
-        if (const auto& rate = state.limit.rate()) {
-            state.sustainedSlots = std::min(state.sustainedSlots, rate->perSecond * meanSlotSeconds);
+        for (const auto& rate : { state.limit.rate(), state.coldLimit.rate() }) {
+            if (rate) {
+                state.sustainedSlots = std::min(state.sustainedSlots, rate->perSecond * meanSlotSeconds);
+            }
         }
     }
 }
@@ -102,6 +104,7 @@
 {
     presumeRejectionLimits(now);
     for (auto& [id, state] : m_servers) {
+        state.coldLimit.update(state.server, m_connectedShare, now);
         state.limitReached = !state.isWithinLimits(now);
     }
 }
--- a/src/dispatch/servers/ServerPool.h
+++ b/src/dispatch/servers/ServerPool.h
@@ -31,6 +31,8 @@
     void updateRates(double meanSlotSeconds);
     // Notes which request limits leave no room for a request.
     void updateLimits(MonotonicTime now);
+    // The part of the known instances that this dispatcher is connected to, 0 to 1; see ColdRateLimit.
+    void setConnectedShare(double share) { m_connectedShare = share; }
     void recordSuccess(ServerState&);
     void recordFailure(ServerState&, bool died, MonotonicTime now);
 
@@ -63,6 +65,7 @@
 
     const DispatchOptions& m_options;
     Tokens m_cacheCapacity;
+    double m_connectedShare = 1;
     std::uint64_t m_generation = 0;
     std::map<BackendServerId, ServerState> m_servers; // ordered, so that decisions do not depend on hash order
 };
--- a/src/dispatch/servers/ServerState.h
+++ b/src/dispatch/servers/ServerState.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <algorithm>
 #include <optional>
 #include <set>
 
+#include "dispatch/servers/ColdRateLimit.h"
 #include "dispatch/servers/PrefixCache.h"
 #include "dispatch/servers/PrefixIndex.h"
 #include "dispatch/servers/RejectionGuard.h"
@@ -35,7 +37,16 @@
         rejections.recordRejection(now);
     }
     // Whether the server's limits leave room for a request.
-    bool isWithinLimits(MonotonicTime now) { return limit.hasRoom(now) && rejections.hasRoom(1, now); }
+    bool isWithinLimits(MonotonicTime now)
+    {
+        return limit.hasRoom(now) && coldLimit.hasRoom(now) && rejections.hasRoom(1, now);
+    }
+    // Time until the limits leave room for a request that comes after the given number of others.
+    Duration waitForLimits(int others, MonotonicTime now)
+    {
+        return std::max(limit.waitBehind(others, now), coldLimit.waitBehind(others, now));
+    }
+    bool isCold(MonotonicTime now) const { return now < server.coldUntil; }
     bool declinedSince(MonotonicTime time) const { return m_declinedAt && *m_declinedAt > time; }
 
     // The server is a model engine whose prompt parts are known, so its time to the first byte measures how fast it
@@ -65,6 +76,7 @@
     bool runsSuspect = false;
     ServerHealth health;
     RequestLimiter limit;
+    ColdRateLimit coldLimit;
     RejectionGuard rejections;
     PrefixIndex prefix; // from the engine's cache events
     PrefixCache cache; // from the prompts sent to the engine
--- a/src/external/CollectionDirectory.cpp
+++ b/src/external/CollectionDirectory.cpp
@@ -63,6 +63,11 @@
     ObjectStorePtr store;
     Sink sink;
     std::set<std::string> unreadable; // entries that were logged
+    struct SeenEntry {
+        std::string value;
+        MonotonicTime seenAt;
+    };
+    std::map<std::string, SeenEntry> seen; // of the backend servers listed
     bool registered = false;
     bool stopped = false;
 
@@ -256,8 +261,14 @@
 {
     const auto& items = follower.items();
     std::vector<BackendServer> servers;
+    auto now = readMonotonicClock();
+    std::erase_if(seen, [&](const auto& it) { return !items.contains(it.first); });
     for (const auto& [name, value] : items) {
-        auto server = decode(name, value);
+        auto& entry = seen[name];
+        if (entry.value != value) {
+            entry = { value, now };
+        }
+        auto server = decode(name, value, entry.seenAt);
         if (!server) {
             if (unreadable.insert(name).second) {
                 LogLine(LogLevel::Warning, "server_entry_unreadable")
--- a/src/external/CollectionDirectory.h
+++ b/src/external/CollectionDirectory.h
@@ -24,8 +24,9 @@
         Duration watchPause = std::chrono::milliseconds(100);
     };
     // Nothing for an entry that names no usable server; an error for one that cannot be read.
-    using DecodeServer
-        = std::function<Outcome<std::optional<BackendServer>>(const std::string& name, const std::string& value)>;
+    // The time is when this process first saw the value.
+    using DecodeServer = std::function<Outcome<std::optional<BackendServer>>(
+        const std::string& name, const std::string& value, MonotonicTime seenAt)>;
 
     CollectionDirectory(
         Options, ObjectCollectionPtr servers, DecodeServer, ObjectCollectionPtr instances, ObjectStorePtr);
--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -73,6 +73,10 @@
     settings.answersIdleTimeout = reader.readBool("answers_idle_timeout", settings.answersIdleTimeout);
     settings.leaseTerm = reader.readMilliseconds("lease_term_ms", 1s, 1min, settings.leaseTerm);
     settings.capacityHeadroom = reader.readNumber("capacity_headroom", 1, 100, settings.capacityHeadroom);
+    if (reader.has("cold_rate_factor")) {
+        settings.coldRateFactor = reader.readNumber("cold_rate_factor", 0.1, 1000);
+    }
+    settings.coldRateSlack = reader.readNumber("cold_rate_slack", 0, 1e6, settings.coldRateSlack);
     settings.usageReportBound = reader.readMilliseconds("usage_report_bound_ms", 1s, 1h, settings.usageReportBound);
 }
 
