Obey evacuations of data centres

Change: the readers of the list of servers watch the evacuations and pass them on by gossip and with that list; servers are marked, and whatever selects a server skips them; the capacity planner orders elsewhere and keeps what is there. On where the settings carry watches_evacuations.

--- a/include/lagoonspoke/dispatch/BackendServer.h
+++ b/include/lagoonspoke/dispatch/BackendServer.h
@@ -28,11 +28,16 @@
     // The list no longer names it, but may do so again in a moment, as after an outage of the list's store.
     bool lapsed = false;
     SoftwareVersion softwareVersion {};
+    // An operator asked that nothing more be sent to the servers of its data centre, until that is taken back.
+    bool evacuated = false;
     // The server is cold until then: it has just started, or lost what makes it fast.
     MonotonicTime coldUntil {};
     // Absent for a server that is never cold, or tolerates any rate.
     std::optional<ColdTolerance> coldTolerance {};
 
+    // Whether new requests may be sent to it at all.
+    bool isOpen() const { return !leaving && !evacuated; }
+
     bool operator==(const BackendServer&) const = default;
 };
 
--- a/src/daemon/CapacityService.cpp
+++ b/src/daemon/CapacityService.cpp
@@ -41,7 +41,7 @@
 {
     m_snapshot = std::move(snapshot);
     for (const auto& [name, deployment] : m_snapshot->configuration().deployments) {
-        m_planners.try_emplace(name, CapacityPlanner(m_plannerOptions));
+        m_planners.try_emplace(name, CapacityPlanner(m_plannerOptions)).first->second.setEvacuated(m_evacuated);
     }
 }
 
@@ -62,9 +62,13 @@
     }
 }
 
-void CapacityService::applyServers(std::vector<BackendServer> servers)
+void CapacityService::applyServers(std::vector<BackendServer> servers, std::set<DataCentreId> evacuated)
 {
     m_servers = std::move(servers);
+    m_evacuated = std::move(evacuated);
+    for (auto& [name, planner] : m_planners) {
+        planner.setEvacuated(m_evacuated);
+    }
 }
 
 void CapacityService::adjustAll()
--- a/src/daemon/CapacityService.h
+++ b/src/daemon/CapacityService.h
@@ -30,8 +30,8 @@
     void applyDemand(const TargetName&, double load);
     // The lease of the data centre was gained, or lost when there is no token.
     void applyLease(const DataCentreId&, std::optional<FencingToken>);
-    // The whole list of backend servers.
-    void applyServers(std::vector<BackendServer>);
+    // The whole list of backend servers, and the data centres that get no requests.
+    void applyServers(std::vector<BackendServer>, std::set<DataCentreId> evacuated);
 
 private:
     void adjustAll();
@@ -48,6 +48,7 @@
     SnapshotPtr m_snapshot;
     std::map<TargetName, CapacityPlanner> m_planners;
     std::optional<std::vector<BackendServer>> m_servers; // none before the first list
+    std::set<DataCentreId> m_evacuated;
     std::set<std::pair<TargetName, DataCentreId>> m_sending;
     bool m_stopped = false;
 };
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -2,6 +2,9 @@
 
 #include <csignal>
 
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
 #include <prometheus/text_serializer.h>
 
 #include "daemon/SignalMask.h"
@@ -27,6 +30,17 @@
     return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
 }
 
+// Which evacuations this instance obeys, and for how long already.
+std::string describeEvacuations(const std::map<DataCentreId, MonotonicTime>& evacuations)
+{
+    boost::json::array list;
+    for (const auto& [dataCentre, since] : evacuations) {
+        list.push_back(boost::json::object { { "data_centre", dataCentre.value() },
+            { "obeyed_ms", static_cast<std::int64_t>(toMilliseconds(readMonotonicClock() - since)) } });
+    }
+    return boost::json::serialize(list);
+}
+
 } // namespace
 
 Daemon::Daemon(DaemonSettings settings, ExternalInterfaces interfaces)
@@ -40,6 +54,8 @@
           makeGauge(m_registry, "lagoonspoke_backend_servers", "Backend servers known from the instance list."))
     , m_droppedLogLines(makeGauge(m_registry, "lagoonspoke_log_lines_dropped",
           "Log lines not written since the start: over the volume, or not read in time."))
+    , m_evacuatedDataCentres(makeGauge(m_registry, "lagoonspoke_evacuated_data_centres",
+          "Data centres whose backend servers this instance sends nothing to, by an operator's request."))
     , m_supervisor(m_io, {})
 {
 }
@@ -158,6 +174,7 @@
     });
     m_peers->setServersChanged([this](std::vector<BackendServer> servers) {
         m_backendServers.Set(static_cast<double>(servers.size()));
+        m_evacuatedDataCentres.Set(static_cast<double>(m_peers->evacuations().size()));
         if (m_storeServices) {
             m_storeServices->handleServers(servers);
         }
@@ -242,6 +259,8 @@
     } else if (target == "/readyz") {
         auto status = isReady() ? http::status::ok : http::status::service_unavailable;
         co_await exchange.respond(status, "text/plain", isReady() ? "ready\n" : "not ready\n");
+    } else if (target == "/evacuations") {
+        co_await exchange.respond(http::status::ok, "application/json", describeEvacuations(m_peers->evacuations()));
     } else if (target == "/metrics") {
         m_droppedLogLines.Set(static_cast<double>(countDroppedLogLines()));
         auto text = prometheus::TextSerializer().Serialize(m_registry.Collect());
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -63,6 +63,7 @@
     prometheus::Gauge& m_configurationNumber;
     prometheus::Gauge& m_backendServers;
     prometheus::Gauge& m_droppedLogLines;
+    prometheus::Gauge& m_evacuatedDataCentres;
     std::unique_ptr<PeerService> m_peers;
     std::unique_ptr<ControlLoop> m_control;
     std::unique_ptr<StoreServices> m_storeServices; // null with a static configuration
--- a/src/daemon/PeerService.cpp
+++ b/src/daemon/PeerService.cpp
@@ -91,6 +91,11 @@
     return m_state->serversRead;
 }
 
+const std::map<DataCentreId, MonotonicTime>& PeerService::evacuations() const
+{
+    return m_state->evacuations.since();
+}
+
 std::uint64_t PeerService::serversRevision() const
 {
     return m_state->source ? m_state->source->serversRevision() : 0;
--- a/src/daemon/PeerService.h
+++ b/src/daemon/PeerService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -46,6 +47,8 @@
     std::string address() const; // IP:port as bound
     // Whether the backend servers were read at least once.
     bool knowsServers() const;
+    // The evacuated data centres, and since when this instance obeys.
+    const std::map<DataCentreId, MonotonicTime>& evacuations() const;
     // The revision of the store's list of backend servers that is known here; 0 where lists have none.
     std::uint64_t serversRevision() const;
     // Every member that was heard of, this instance included. An instance that is only listed may be gone for long.
--- a/src/daemon/PeerServiceState.cpp
+++ b/src/daemon/PeerServiceState.cpp
@@ -16,6 +16,9 @@
 using namespace std::chrono_literals;
 
 constexpr Duration acceptRetry = 100ms; // when the process has no descriptor left
+// Where a list of evacuations came from, for the log. Only what the store said is passed on by this instance: what
+// peers said is passed on by the gossip itself.
+constexpr std::string_view storeOrigin = "store";
 // Both links and tunnels send at once.
 constexpr Duration firstFrameBound = 3s;
 
@@ -100,6 +103,9 @@
 void PeerService::State::hearRumour(const Rumour& rumour)
 {
     directory.hear(rumour);
+    if (auto list = Evacuations::readRumour(rumour); list && settings.watchesEvacuations) {
+        takeEvacuations(*list, "peer");
+    }
     notifyServers();
     rumourReceiver(rumour);
 }
@@ -112,7 +118,52 @@
     if (auto overruled = directory.overruled(); std::exchange(overruledServers, overruled) != overruled) {
         LogLine(overruled > 0 ? LogLevel::Warning : LogLevel::Info, "missing_servers_used").add("servers", overruled);
     }
-    serversChanged(directory.servers());
+    tellServers();
+}
+
+void PeerService::State::tellServers() const
+{
+    auto servers = directory.servers();
+    evacuations.mark(servers);
+    serversChanged(std::move(servers));
+}
+
+void PeerService::State::takeEvacuations(const EvacuationList& list, std::string_view origin)
+{
+    bool wasKnown = evacuations.isKnown();
+    auto change = evacuations.learn(list, readMonotonicClock());
+    if (change.empty() && wasKnown) {
+        return;
+    }
+    if (source) {
+        source->setEvacuations(evacuations.list());
+    }
+    if (change.empty()) {
+        return;
+    }
+    logEvacuations(change, origin);
+    if (origin == storeOrigin) {
+        handle(RumourPublished { *evacuations.makeRumour() });
+        handle(GossipUrgent {});
+    }
+    tellServers();
+}
+
+void PeerService::State::logEvacuations(const Evacuations::Change& change, std::string_view origin) const
+{
+    auto log = [&](std::string_view event, const DataCentreId& dataCentre) {
+        LogLine(LogLevel::Warning, event)
+            .add("data_centre", dataCentre.value())
+            .add("servers", std::ranges::count(directory.servers(), dataCentre, &BackendServer::dataCentre))
+            .add("revision", evacuations.list().revision)
+            .add("source", origin);
+    };
+    for (const auto& dataCentre : change.begun) {
+        log("evacuation_began", dataCentre);
+    }
+    for (const auto& dataCentre : change.ended) {
+        log("evacuation_ended", dataCentre);
+    }
 }
 
 void PeerService::State::scheduleWakeup()
@@ -325,6 +376,11 @@
             self->takeServers(std::move(servers));
         }
     };
+    sink.evacuations = [weak](const EvacuationList& list) {
+        if (auto self = weak.lock(); self && !self->stopped) {
+            self->takeEvacuations(list, storeOrigin);
+        }
+    };
     return sink;
 }
 
--- a/src/daemon/PeerServiceState.h
+++ b/src/daemon/PeerServiceState.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <set>
 
+#include "daemon/Evacuations.h"
 #include "daemon/PeerLink.h"
 #include "daemon/PeerPorts.h"
 #include "daemon/PeerService.h"
@@ -33,10 +34,14 @@
     std::shared_ptr<PeerLink> linkTo(const InstanceId&, const std::string& address);
     void dropStaleLinks();
     void notifyServers();
+    void tellServers() const;
     void updateHeard();
 
     InstanceDirectory::Sink makeSink();
     void takeServers(std::vector<BackendServer>);
+    // Learned from the store or from a peer.
+    void takeEvacuations(const EvacuationList&, std::string_view source);
+    void logEvacuations(const Evacuations::Change&, std::string_view source) const;
     void openExchange();
 
     asio::awaitable<void> acceptLinks();
@@ -53,6 +58,7 @@
     std::vector<Member> heard; // the members without those that are only listed
     InstanceDirectoryPtr source; // null without one
     ServerDirectory directory;
+    Evacuations evacuations;
     std::size_t overruledServers = 0;
     std::optional<ServerListExchange> exchange; // none without a source, or before the start
     asio::steady_timer timer;
--- a/src/daemon/StoreServices.cpp
+++ b/src/daemon/StoreServices.cpp
@@ -214,7 +214,11 @@
     if (m_fleet) {
         m_fleet->applyServers(servers);
     } else if (m_capacity) {
-        m_capacity->applyServers(servers);
+        std::set<DataCentreId> evacuated;
+        for (const auto& [dataCentre, since] : m_peers.evacuations()) {
+            evacuated.insert(dataCentre);
+        }
+        m_capacity->applyServers(servers, std::move(evacuated));
     }
 }
 
--- a/src/dispatch/DispatchPolicyTest.cpp
+++ b/src/dispatch/DispatchPolicyTest.cpp
@@ -178,4 +178,32 @@
     REQUIRE(fixture.refusals.at("nowhere").code == RefusalCode::NoServers);
 }
 
+// Guards against requests to the servers of an evacuated data centre, and against servers that stay unused after it.
+TEST_CASE("a dispatcher grants no server of an evacuated data centre until it is over")
+{
+    DispatcherFixture fixture(2, 1);
+    auto evacuate = [&](bool evacuated) {
+        fixture.serverList[0].evacuated = evacuated;
+        fixture.send(ServersChanged { fixture.serverList });
+    };
+    fixture.place("sent");
+    fixture.place("unsent");
+    fixture.start(fixture.serverOf("sent") == "s0" ? "sent" : "unsent");
+    evacuate(true);
+    CHECK(fixture.revokes.empty());
+    fixture.finish("sent");
+    fixture.finish("unsent");
+    fixture.place("r1");
+    fixture.place("r2");
+    CHECK(fixture.serverOf("r1") == "s1");
+    CHECK_FALSE(fixture.grants.contains("r2"));
+    evacuate(false);
+    CHECK(fixture.serverOf("r2") == "s0");
+    fixture.serverList[1].evacuated = true;
+    evacuate(true);
+    fixture.place("r3");
+    CHECK(fixture.refusals.at("r3").code == RefusalCode::NoServers);
+    CHECK(fixture.refusals.at("r3").retryAfter > Duration(0));
+}
+
 } // namespace lagoonspoke
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -143,6 +143,7 @@
     std::size_t suspects = 0; // waiting for an isolated server
     int servers = 0;
     int leavingServers = 0;
+    int evacuatedServers = 0;
     int ejectedServers = 0;
     int limitedServers = 0; // that name a request limit
     int coldServers = 0;
--- a/src/dispatch/placement/PartHomes.cpp
+++ b/src/dispatch/placement/PartHomes.cpp
@@ -23,7 +23,7 @@
     m_homes.clear();
     m_servers.clear();
     for (auto& [id, state] : pool.servers()) {
-        if (!state.server.leaving) {
+        if (state.server.isOpen()) {
             m_servers.emplace_back(stableHash(id.value()), &state);
         }
     }
--- a/src/dispatch/placement/PromptPlacement.cpp
+++ b/src/dispatch/placement/PromptPlacement.cpp
@@ -79,7 +79,7 @@
 bool PromptPlacement::isCandidate(
     const ServerState& state, const WaitingRequest& waiting, bool excludedAll, MonotonicTime now) const
 {
-    if (state.server.leaving || state.isolated || !fitsVersion(state.server, waiting.place.softwareVersion)) {
+    if (!state.server.isOpen() || state.isolated || !fitsVersion(state.server, waiting.place.softwareVersion)) {
         return false;
     }
     // A prompt whose parts the stream engine has cached leaves little to read, but a burst of them would still stall
@@ -262,7 +262,7 @@
     for (auto& [id, state] : m_pool.servers()) {
         state.promisedWork = 0;
         state.promisedSlots = 0;
-        if (state.server.leaving || state.isolated || (state.health.isEjected() && !state.isProbeDue(now))) {
+        if (!state.server.isOpen() || state.isolated || (state.health.isEjected() && !state.isProbeDue(now))) {
             continue;
         }
         slots += state.usableSlots;
--- a/src/dispatch/placement/ServerSelector.cpp
+++ b/src/dispatch/placement/ServerSelector.cpp
@@ -50,7 +50,7 @@
     double best = -1;
     for (const auto& [id, state] : m_pool.servers()) {
         double seconds = promptWork(uncachedTokens(state, waiting.place)) * state.secondsPerPromptToken();
-        if (!state.server.leaving && (best < 0 || seconds < best)) {
+        if (state.server.isOpen() && (best < 0 || seconds < best)) {
             best = seconds;
         }
     }
@@ -64,7 +64,7 @@
 
 bool ServerSelector::mayUse(const ServerState& state, const WaitingRequest& waiting, MonotonicTime now) const
 {
-    if (state.server.leaving || state.isolated || !fitsVersion(state.server, waiting.place.softwareVersion)) {
+    if (!state.server.isOpen() || state.isolated || !fitsVersion(state.server, waiting.place.softwareVersion)) {
         return false;
     }
     if (state.health.isEjected()) {
@@ -113,7 +113,7 @@
     for (auto& [id, state] : m_pool.servers()) {
         // A server that is due for a probe after its death is idle, and a suspect request can serve as the probe.
         bool isUnavailable = state.health.isEjected() && !(state.isProbeDue(now) && waiting.place.idempotent);
-        if (state.server.leaving || isUnavailable || !fitsVersion(state.server, waiting.place.softwareVersion)) {
+        if (!state.server.isOpen() || isUnavailable || !fitsVersion(state.server, waiting.place.softwareVersion)) {
             continue;
         }
         isolated += state.isolated ? 1 : 0;
--- a/src/dispatch/queue/BaselineDispatcher.cpp
+++ b/src/dispatch/queue/BaselineDispatcher.cpp
@@ -125,7 +125,7 @@
     std::vector<Server*> choices;
     std::vector<Server*> excluded;
     for (auto& it : m_servers) {
-        if (!it.server.leaving && fitsVersion(it.server, place.softwareVersion)) {
+        if (it.server.isOpen() && fitsVersion(it.server, place.softwareVersion)) {
             (std::ranges::count(place.excluded, it.server.id) ? excluded : choices).push_back(&it);
         }
     }
--- a/src/dispatch/queue/GrantTracker.cpp
+++ b/src/dispatch/queue/GrantTracker.cpp
@@ -342,11 +342,11 @@
     }
 }
 
-void GrantTracker::revokeOnLeavingServers()
+void GrantTracker::revokeOnClosedServers()
 {
     auto requests = m_state.grants.requestsWhere([&](const GrantedRequest& it) {
         const auto* server = m_state.pool.find(it.server);
-        return !it.started && !it.revoked && (!server || server->server.leaving);
+        return !it.started && !it.revoked && (!server || !server->server.isOpen());
     });
     for (const auto& request : requests) {
         auto& granted = *m_state.grants.find(request);
--- a/src/dispatch/queue/GrantTracker.h
+++ b/src/dispatch/queue/GrantTracker.h
@@ -26,7 +26,7 @@
     // Clears the suspect prompt parts of requests whose answers have begun for long enough.
     void clearAnsweredParts(MonotonicTime now);
     // Revokes unstarted grants on servers that are leaving or gone.
-    void revokeOnLeavingServers();
+    void revokeOnClosedServers();
     // Recomputes the slots in use from the grants after the list of servers changed.
     void recountSlots();
 
--- a/src/dispatch/queue/PolicyDispatcher.cpp
+++ b/src/dispatch/queue/PolicyDispatcher.cpp
@@ -273,7 +273,7 @@
     m_state.pool.updateLimits(now);
     m_state.pool.updateRates(m_state.times.meanSlotSeconds());
     m_tracker.recountSlots();
-    m_tracker.revokeOnLeavingServers();
+    m_tracker.revokeOnClosedServers();
 }
 
 void PolicyDispatcher::applyReport(const LoadReported& report, MonotonicTime now)
@@ -364,6 +364,7 @@
     for (const auto& [id, state] : m_state.pool.servers()) {
         ++summary.servers;
         summary.leavingServers += state.server.leaving ? 1 : 0;
+        summary.evacuatedServers += state.server.evacuated ? 1 : 0;
         summary.ejectedServers += state.health.isEjected() ? 1 : 0;
         summary.limitedServers += state.limit.rate() ? 1 : 0;
         summary.coldServers += state.isCold(m_lastAdvance) ? 1 : 0;
--- a/src/dispatch/routing/FallbackPlacer.cpp
+++ b/src/dispatch/routing/FallbackPlacer.cpp
@@ -100,7 +100,7 @@
 {
     std::vector<const BackendServer*> servers;
     for (const auto& server : m_servers) {
-        if (serves(server, domain) && !server.leaving) {
+        if (serves(server, domain) && server.isOpen()) {
             servers.push_back(&server);
         }
     }
@@ -121,10 +121,10 @@
     });
 }
 
-bool FallbackPlacer::isLeaving(const BackendServerId& id) const
+bool FallbackPlacer::isClosed(const BackendServerId& id) const
 {
     auto it = std::ranges::find(m_servers, id, &BackendServer::id);
-    return it != m_servers.end() ? it->leaving : std::ranges::count(m_departed, id) > 0;
+    return it != m_servers.end() ? !it->isOpen() : std::ranges::count(m_departed, id) > 0;
 }
 
 bool FallbackPlacer::isWithinColdLimit(const BackendServer& server, MonotonicTime now)
--- a/src/dispatch/routing/FallbackPlacer.h
+++ b/src/dispatch/routing/FallbackPlacer.h
@@ -42,14 +42,14 @@
     // Whether the request or a part of its prompt is quarantined.
     bool isQuarantined(const PlaceRequest&, MonotonicTime now) const;
 
-    // The listed servers of the domain that do not leave.
+    // The listed servers of the domain that may take new requests.
     std::vector<const BackendServer*> serversOf(const DomainId&) const;
-    // Whether the server leaves, or was in an earlier list and is not in this one.
-    bool isLeaving(const BackendServerId&) const;
+    // Whether the server takes no new requests, or was in an earlier list and is not in this one.
+    bool isClosed(const BackendServerId&) const;
 
     // Empty for a server that is not listed.
     SoftwareVersion versionOf(const BackendServerId&) const;
-    // Whether the domain has servers that do not leave, but none that may run the request.
+    // Whether the domain has servers that take new requests, but none that may run the request.
     bool lacksVersion(const PlaceRequest&) const;
 
     // Counts every active grant of this instance, from a dispatcher or from local placement.
--- a/src/dispatch/routing/PlacementRouter.cpp
+++ b/src/dispatch/routing/PlacementRouter.cpp
@@ -55,7 +55,7 @@
                    [&](const MembersUpdated& it) { handleMembersUpdated(it.members, now); },
                    [&](const ServersChanged& it) {
                        m_fallback.setServers(it.servers);
-                       revokeOnLeavingServers();
+                       revokeOnClosedServers();
                    },
                    [&](const PeerLost& it) { handlePeerLost(it.peer, now); },
                    [&](const DomainFloorReceived& it) {
@@ -137,7 +137,7 @@
                 if (it != m_requests.end() && it->second.held && it->second.held->grant == progress.grant) {
                     if (progress.signal) {
                         m_signals.record(it->second.held->server, *progress.signal, now);
-                        revokeOnLeavingServers();
+                        revokeOnClosedServers();
                     }
                     it->second.held->outputTokens = progress.outputTokens;
                     recordLimit(it->second, progress, now);
@@ -264,7 +264,7 @@
     }
     // Nor does it know the version that the request is bound to.
     bool fits = !request.place.softwareVersion || *request.place.softwareVersion == grant.softwareVersion;
-    if (!fits || m_fallback.isLeaving(grant.server) || m_signals.refuses(grant.server, now)) {
+    if (!fits || m_fallback.isClosed(grant.server) || m_signals.refuses(grant.server, now)) {
         declineGrant(request, grant, from, now);
         return;
     }
--- a/src/dispatch/routing/PlacementRouter.h
+++ b/src/dispatch/routing/PlacementRouter.h
@@ -172,9 +172,9 @@
     // requests another one.
     void declineGrant(Request&, const Grant&, const InstanceId& from, MonotonicTime now);
     void recordGrant(Request&, const Grant&, const InstanceId& from, MonotonicTime now);
-    // Ends the grants for servers that this instance knows to leave, by whichever instance they were given: their
-    // requests may not have been sent yet, or have to be sent again.
-    void revokeOnLeavingServers();
+    // Ends the grants for servers that this instance knows to take no new requests, by whichever instance they were
+    // given: their requests may not have been sent yet, or have to be sent again.
+    void revokeOnClosedServers();
     void recordLimit(const Request&, const Progress&, MonotonicTime now);
     void clearGrant(Request&);
     static void rememberParts(Domain&, const Request&, const BackendServerId&, MonotonicTime now);
--- a/src/dispatch/routing/PlacementRouterRequests.cpp
+++ b/src/dispatch/routing/PlacementRouterRequests.cpp
@@ -197,11 +197,11 @@
     requestServer(request, domain, now);
 }
 
-void PlacementRouter::revokeOnLeavingServers()
+void PlacementRouter::revokeOnClosedServers()
 {
     for (auto& [id, request] : m_requests) {
         if (request.held && !request.revoked
-            && (m_fallback.isLeaving(request.held->server) || m_signals.leaves(request.held->server))) {
+            && (m_fallback.isClosed(request.held->server) || m_signals.leaves(request.held->server))) {
             request.revoked = true;
             m_actions.emplace_back(
                 DeliverToThread { request.thread, Revoke { id, request.held->grant, RevokeReason::ServerLeaving } });
--- a/src/dispatch/routing/PlacementRouterTest.cpp
+++ b/src/dispatch/routing/PlacementRouterTest.cpp
@@ -207,6 +207,17 @@
         // Once is enough.
         CHECK(ended(entry.router->handle(ServersChanged { { leaving } }, start + 3s)).empty());
     }
+    SECTION("its data centre is evacuated")
+    {
+        auto evacuated = makeServer("s1", 3);
+        evacuated.evacuated = true;
+        CHECK(ended(entry.router->handle(ServersChanged { { evacuated, makeServer("s2", 3) } }, start + 2s)) == both);
+        // A dispatcher that does not know of it yet grants it once more.
+        entry.place(makePlace("late"));
+        auto late = entry.fromOwner(Grant { RequestId("late"), GrantId(6), BackendServerId("s1"), "a:1", 2s });
+        CHECK(deliveredMessages<Grant>(late).empty());
+        CHECK(sentMessages<Progress>(late).size() == 1);
+    }
     SECTION("its entry is removed")
     {
         CHECK(ended(entry.router->handle(ServersChanged { { makeServer("s2", 3) } }, start + 2s)) == both);
--- a/src/dispatch/servers/ServerPool.cpp
+++ b/src/dispatch/servers/ServerPool.cpp
@@ -148,18 +148,18 @@
 
 bool ServerPool::isUsable(const ServerState& state) const
 {
-    return !state.server.leaving && !state.health.isEjected() && !state.isolated;
+    return state.server.isOpen() && !state.health.isEjected() && !state.isolated;
 }
 
 bool ServerPool::isEmpty() const
 {
-    return std::ranges::none_of(m_servers, [](const auto& it) { return !it.second.server.leaving; });
+    return std::ranges::none_of(m_servers, [](const auto& it) { return it.second.server.isOpen(); });
 }
 
 bool ServerPool::serves(const std::optional<SoftwareVersion>& version) const
 {
     return std::ranges::any_of(
-        m_servers, [&](const auto& it) { return !it.second.server.leaving && fitsVersion(it.second.server, version); });
+        m_servers, [&](const auto& it) { return it.second.server.isOpen() && fitsVersion(it.second.server, version); });
 }
 
 bool ServerPool::hasAvailableServer(MonotonicTime now) const
@@ -181,7 +181,7 @@
 {
     double sum = 0;
     for (const auto& [id, state] : m_servers) {
-        sum += state.server.leaving || state.health.isPersistentlyDown() ? 0 : state.sustainedSlots;
+        sum += !state.server.isOpen() || state.health.isPersistentlyDown() ? 0 : state.sustainedSlots;
     }
     return sum;
 }
--- a/src/external/CollectionDirectory.cpp
+++ b/src/external/CollectionDirectory.cpp
@@ -23,6 +23,26 @@
         { "region", member.region.value() }, { "peer_address", member.peerAddress } });
 }
 
+boost::json::object writeEvacuations(const EvacuationList& list)
+{
+    boost::json::array names;
+    for (const auto& dataCentre : list.dataCentres) {
+        names.emplace_back(dataCentre.value());
+    }
+    return { { "revision", list.revision }, { "data_centres", std::move(names) } };
+}
+
+EvacuationList readEvacuations(JsonReader& reader)
+{
+    EvacuationList list;
+    constexpr auto most = std::numeric_limits<std::int64_t>::max();
+    list.revision = static_cast<std::uint64_t>(reader.readInteger("revision", 0, most));
+    for (auto& name : reader.readStrings("data_centres", std::vector<std::string>())) {
+        list.dataCentres.insert(DataCentreId(std::move(name)));
+    }
+    return list;
+}
+
 Outcome<Member> decodeInstance(const CollectionItem& item)
 {
     auto value = parseJson(item.value);
@@ -79,12 +99,13 @@
 };
 
 CollectionDirectory::CollectionDirectory(Options options, ObjectCollectionPtr servers, DecodeServer decode,
-    ObjectCollectionPtr instances, ObjectStorePtr store)
+    ObjectCollectionPtr instances, ObjectStorePtr store, ObjectCollectionPtr evacuations)
     : m_options(std::move(options))
     , m_servers(std::move(servers))
     , m_decode(std::move(decode))
     , m_instances(std::move(instances))
     , m_store(std::move(store))
+    , m_evacuations(std::move(evacuations))
 {
 }
 
@@ -106,10 +127,38 @@
     follower.watchPause = m_options.watchPause;
     m_watcher = std::make_unique<CollectionWatcher>(io, "servers", m_servers, follower, std::move(callbacks));
     m_watcher->start();
+    startEvacuationWatcher(io);
     asio::co_spawn(io, State::registerSelf(m_state), asio::detached);
     asio::co_spawn(io, State::listInstances(m_state), asio::detached);
 }
 
+void CollectionDirectory::startEvacuationWatcher(asio::io_context& io)
+{
+    if (!m_evacuations) {
+        return;
+    }
+    CollectionWatcher::Callbacks callbacks;
+    callbacks.updated = [this](const auto& items) {
+        EvacuationList list { m_evacuationWatcher->follower().itemsRevision(), {} };
+        for (const auto& [name, value] : items) {
+            list.dataCentres.insert(DataCentreId(name));
+        }
+        m_state->sink.evacuations(std::move(list));
+    };
+    auto follower = m_options.follower;
+    follower.renewalInterval = m_options.evacuationRenewal;
+    // An evacuation that was taken back while the store was away is over at once.
+    follower.returnGrace = Duration(0);
+    m_evacuationWatcher
+        = std::make_unique<CollectionWatcher>(io, "evacuations", m_evacuations, follower, std::move(callbacks));
+    m_evacuationWatcher->start();
+}
+
+void CollectionDirectory::setEvacuations(EvacuationList list)
+{
+    m_evacuationList = std::move(list);
+}
+
 void CollectionDirectory::stop()
 {
     if (m_state && !m_state->stopped) {
@@ -117,6 +166,9 @@
         m_state->timer.cancel();
         m_state->registrationTimer.cancel();
         m_watcher->stop();
+        if (m_evacuationWatcher) {
+            m_evacuationWatcher->stop();
+        }
     }
 }
 
@@ -125,6 +177,9 @@
     if (m_watcher) {
         m_watcher->tell(CollectionRoleChanged { reads, turn });
     }
+    if (m_evacuationWatcher) {
+        m_evacuationWatcher->tell(CollectionRoleChanged { reads, turn });
+    }
 }
 
 bool CollectionDirectory::isCurrent() const
@@ -208,8 +263,11 @@
         item["value"] = value;
         items.push_back(std::move(item));
     }
-    return boost::json::serialize(
-        boost::json::object { { "revision", m_watcher->follower().itemsRevision() }, { "items", std::move(items) } });
+    boost::json::object text { { "revision", m_watcher->follower().itemsRevision() }, { "items", std::move(items) } };
+    if (m_evacuationList) {
+        text["evacuations"] = writeEvacuations(*m_evacuationList);
+    }
+    return boost::json::serialize(text);
 }
 
 Outcome<void> CollectionDirectory::hearServers(std::string_view text)
@@ -231,12 +289,19 @@
             std::chrono::milliseconds(it.readInteger("kept_ms", 0, mostKeptMs, 0)) };
         heard.changes.push_back(std::move(change));
     }
+    std::optional<EvacuationList> evacuations;
+    if (auto told = reader.readObject("evacuations")) {
+        evacuations = readEvacuations(*told);
+    }
     if (!errors.empty()) {
         return makeError(ErrorCode::ProtocolViolation, formatErrors(errors));
     }
     if (!m_watcher) {
         return {};
     }
+    if (evacuations && m_evacuations) {
+        m_state->sink.evacuations(std::move(*evacuations));
+    }
     if (isChange) {
         if (from != serversRevision() && heard.revision > serversRevision()) {
             return makeError(ErrorCode::Conflict, "changes are missing in between");
--- a/src/external/CollectionDirectory.h
+++ b/src/external/CollectionDirectory.h
@@ -22,14 +22,18 @@
         Duration registrationRetry = std::chrono::milliseconds(500);
         // Servers of a fleet report one by one; the news that one leaves may be this much later of some seconds.
         Duration watchPause = std::chrono::milliseconds(100);
+        // A silent connection to the store is noticed by one of the readers within this time; evacuations are in force
+        // within seconds.
+        Duration evacuationRenewal = std::chrono::seconds(1);
     };
     // Nothing for an entry that names no usable server; an error for one that cannot be read.
     // The time is when this process first saw the value.
     using DecodeServer = std::function<Outcome<std::optional<BackendServer>>(
         const std::string& name, const std::string& value, MonotonicTime seenAt)>;
 
-    CollectionDirectory(
-        Options, ObjectCollectionPtr servers, DecodeServer, ObjectCollectionPtr instances, ObjectStorePtr);
+    // The collection of evacuations has an item for each evacuated data centre, of its name; null where there are none.
+    CollectionDirectory(Options, ObjectCollectionPtr servers, DecodeServer, ObjectCollectionPtr instances,
+        ObjectStorePtr, ObjectCollectionPtr evacuations = {});
     ~CollectionDirectory() override;
 
     void start(asio::io_context&, const std::string& peerAddress, Sink) override;
@@ -40,10 +44,12 @@
     std::string shareLastChange() const override;
     std::string shareServers() const override;
     Outcome<void> hearServers(std::string_view) override;
+    void setEvacuations(EvacuationList) override;
 
 private:
     struct State;
 
+    void startEvacuationWatcher(asio::io_context&);
     void noteItems(const std::map<std::string, std::string>&);
     // How long peers keep an item that the store no longer has, if they know it.
     Duration keptFor(const std::string& name) const;
@@ -56,7 +62,10 @@
     DecodeServer m_decode;
     ObjectCollectionPtr m_instances;
     ObjectStorePtr m_store;
+    ObjectCollectionPtr m_evacuations;
     std::unique_ptr<CollectionWatcher> m_watcher;
+    std::unique_ptr<CollectionWatcher> m_evacuationWatcher; // none without a collection of them
+    std::optional<EvacuationList> m_evacuationList; // that this instance goes by
     std::map<std::string, std::string> m_items; // of the store, as told last
     std::set<std::string> m_kept; // as told last
     std::uint64_t m_itemsRevision = 0;
--- a/src/external/CollectionDirectoryTest.cpp
+++ b/src/external/CollectionDirectoryTest.cpp
@@ -91,7 +91,7 @@
         options.follower.returnGrace = 1500ms;
         return options;
     }
-    static Outcome<std::optional<BackendServer>> decode(const std::string& name, const std::string&)
+    static Outcome<std::optional<BackendServer>> decode(const std::string& name, const std::string&, MonotonicTime)
     {
         BackendServer server;
         server.id = BackendServerId(name);
@@ -207,6 +207,47 @@
     }
 }
 
+// Guards against an instance that starts in an outage of the store and sends requests to an evacuated data centre.
+TEST_CASE("evacuations are shared with the list of servers")
+{
+    asio::io_context io;
+    Store store { { { "s", "1" } }, 5 };
+    Store evacuationStore { { { "a", "{}" } }, 6 };
+    auto view = std::make_shared<CollectionView>(store);
+    auto cut = std::make_shared<CollectionView>(store);
+    cut->cut = true;
+    auto open = [&](const std::shared_ptr<CollectionView>& source, std::vector<EvacuationList>& lists) {
+        auto evacuationView = std::make_shared<CollectionView>(evacuationStore);
+        evacuationView->cut = source->cut;
+        auto directory = std::make_unique<CollectionDirectory>(
+            Instance::makeOptions(), source, Instance::decode, source, std::make_shared<NoStore>(), evacuationView);
+        InstanceDirectory::Sink sink;
+        sink.instances = [](const std::vector<Member>&) {};
+        sink.servers = [](const std::vector<BackendServer>&) {};
+        sink.evacuations = [&lists](EvacuationList list) { lists.push_back(std::move(list)); };
+        directory->start(io, "127.0.0.1:1", std::move(sink));
+        return directory;
+    };
+    std::vector<EvacuationList> read;
+    std::vector<EvacuationList> told;
+    auto reader = open(view, read);
+    auto starting = open(cut, told);
+    io.run_for(30ms);
+    REQUIRE(read.size() == 1);
+    CHECK(told.empty());
+    reader->setEvacuations(read.back());
+    CHECK(starting->hearServers(reader->shareServers()));
+    REQUIRE(told.size() == 1);
+    CHECK(told.back().revision == 6);
+    CHECK(told.back().dataCentres == std::set { DataCentreId("a") });
+    evacuationStore.items.clear();
+    ++evacuationStore.revision;
+    io.restart();
+    io.run_for(30ms);
+    REQUIRE(read.size() == 2);
+    CHECK(read.back().dataCentres.empty());
+}
+
 // Guards against an instance that starts in an outage of the store and knows no server.
 TEST_CASE("an instance without any list takes over the lapsed servers")
 {
--- a/src/external/InstanceDirectory.h
+++ b/src/external/InstanceDirectory.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <vector>
 
+#include "external/EvacuationList.h"
 #include "external/WatchTurn.h"
 #include "http/Asio.h"
 #include "lagoonspoke/core/Error.h"
@@ -20,6 +21,8 @@
     struct Sink {
         std::function<void(std::vector<Member>)> instances;
         std::function<void(std::vector<BackendServer>)> servers;
+        // As the store has them, or as a peer shared them with its backend servers.
+        std::function<void(EvacuationList)> evacuations;
     };
 
     virtual ~InstanceDirectory() = default;
@@ -39,6 +42,8 @@
     virtual std::string shareServers() const { return {}; }
     // The last change of the backend servers, for a peer that knew them before it.
     virtual std::string shareLastChange() const { return {}; }
+    // The evacuations that this instance goes by, to be shared together with the backend servers.
+    virtual void setEvacuations(EvacuationList) { }
     // What a peer shared. Errors: Conflict when changes are missing in between, ProtocolViolation.
     virtual Outcome<void> hearServers(std::string_view) { return {}; }
 };
--- a/src/fleet/CapacityPlanner.cpp
+++ b/src/fleet/CapacityPlanner.cpp
@@ -34,12 +34,23 @@
 
 CapacityPlanner::CapacityPlanner(Options options)
     : m_options(std::move(options))
+    , m_dataCentres(m_options.dataCentres)
 {
 }
 
+void CapacityPlanner::setEvacuated(const std::set<DataCentreId>& evacuated)
+{
+    m_dataCentres.clear();
+    std::ranges::copy_if(m_options.dataCentres, std::back_inserter(m_dataCentres),
+        [&](const DataCentreId& it) { return !evacuated.contains(it); });
+    if (m_dataCentres.empty()) {
+        m_dataCentres = m_options.dataCentres;
+    }
+}
+
 int CapacityPlanner::wantedTotal(const DeploymentSpec& deployment) const
 {
-    auto dataCentres = static_cast<int>(m_options.dataCentres.size());
+    auto dataCentres = static_cast<int>(m_dataCentres.size());
     auto partOfMost = [&](double part) {
         return static_cast<int>(std::ceil(part * deployment.maxServersPerDataCentre)) * dataCentres;
     };
@@ -57,7 +68,7 @@
         return half;
     }
     // When the load exceeds what may be ordered, no more is kept for an eviction than the data centres' spread gives.
-    auto dataCentres = static_cast<int>(m_options.dataCentres.size());
+    auto dataCentres = static_cast<int>(m_dataCentres.size());
     auto spread = std::max(half, total - divideUp(total, dataCentres));
     auto needed = m_load * (1 + survivingHeadroomPart * (m_options.headroom - 1));
     return std::min(spread, static_cast<int>(std::ceil(needed)));
@@ -65,7 +76,7 @@
 
 FleetCounts CapacityPlanner::chooseMix(const DeploymentSpec& deployment, int total) const
 {
-    auto dataCentres = static_cast<int>(m_options.dataCentres.size());
+    auto dataCentres = static_cast<int>(m_dataCentres.size());
     // At least one lasting server in each data centre, as cheap ones may not be had anywhere.
     auto least = std::min(total, std::max(1, deployment.minServersPerDataCentre) * dataCentres);
     auto most = deployment.maxServersPerDataCentre * dataCentres;
@@ -95,7 +106,8 @@
 void CapacityPlanner::followLoad(const DeploymentSpec& deployment, MonotonicTime now)
 {
     auto wanted = wantedTotal(deployment);
-    Bounds bounds { deployment.minServersPerDataCentre, deployment.maxServersPerDataCentre, deployment.allowCheap };
+    Bounds bounds { deployment.minServersPerDataCentre, deployment.maxServersPerDataCentre, deployment.allowCheap,
+        m_dataCentres };
     if (wanted > growFraction * m_total || m_bounds != bounds) {
         m_bounds = bounds;
         setTotal(deployment, wanted);
@@ -118,7 +130,7 @@
 FleetPlan CapacityPlanner::plan(const DeploymentSpec& deployment) const
 {
     FleetPlan plan;
-    auto dataCentres = m_options.dataCentres;
+    auto dataCentres = m_dataCentres;
     if (dataCentres.empty()) {
         return plan;
     }
@@ -140,12 +152,12 @@
     const DeploymentSpec& deployment, const std::vector<BackendServer>& servers) const
 {
     Present present;
-    for (const auto& dataCentre : m_options.dataCentres) {
+    for (const auto& dataCentre : m_dataCentres) {
         present[dataCentre] = {};
     }
     for (const auto& server : servers) {
         auto it = present.find(server.dataCentre);
-        if (it != present.end() && server.target == deployment.name && !server.leaving) {
+        if (it != present.end() && server.target == deployment.name && server.isOpen()) {
             ++(server.cheap ? it->second.spot : it->second.onDemand);
         }
     }
--- a/src/fleet/CapacityPlanner.h
+++ b/src/fleet/CapacityPlanner.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "fleet/FleetPlanner.h"
@@ -47,6 +48,9 @@
     // new dispatcher, and leaves the last known load in force.
     void setLoad(double load) { m_load = load > 0 ? load : m_load; }
     double load() const { return m_load; }
+    // Servers of these data centres get no requests: others carry their load. They are neither ordered nor given back
+    // meanwhile, as they are needed again afterwards.
+    void setEvacuated(const std::set<DataCentreId>&);
     // The counts that each data centre shall have in the end.
     FleetPlan plan(const DeploymentSpec&) const;
     // The orders to give now in one data centre, by the servers of all data centres.
@@ -68,6 +72,7 @@
         int least = 0;
         int most = 0;
         bool allowCheap = false;
+        std::vector<DataCentreId> dataCentres = {};
 
         bool operator==(const Bounds&) const = default;
     };
@@ -87,6 +92,7 @@
     bool isDue(const DeploymentSpec&, const WishedCount&, int present, MonotonicTime now) const;
 
     Options m_options;
+    std::vector<DataCentreId> m_dataCentres; // those that are not evacuated; all if all are
     double m_load = 0;
     int m_total = 0; // the planned number of servers; 0 before the first plan
     FleetCounts m_mix; // chosen together with it
--- a/src/fleet/CapacityPlannerTest.cpp
+++ b/src/fleet/CapacityPlannerTest.cpp
@@ -255,4 +255,29 @@
     CHECK(planner.adjust(deployment, near, makeServers({ 1, 5 }, { 1, 5 }), MonotonicTime(30s)).size() == 2);
 }
 
+// Guards against an evacuation that leaves too few servers, or that gives those back that are needed after it.
+TEST_CASE("while a data centre is evacuated the others carry its load")
+{
+    auto planner = makePlanner();
+    auto deployment = makeDeployment();
+    deployment.allowCheap = false;
+    planner.setLoad(4);
+    MonotonicTime now { 100s };
+    auto orders = planner.adjust(deployment, dataCentres[1], makeServers({}, {}), now);
+    REQUIRE(orders.size() == 1);
+    auto before = orders[0].count;
+    planner.setEvacuated({ near });
+    auto servers = makeServers({ before, 0 }, { before, 0 });
+    for (auto& server : servers) {
+        server.evacuated = server.dataCentre == near;
+    }
+    CHECK(planner.adjust(deployment, near, servers, now + 1s).empty());
+    orders = planner.adjust(deployment, dataCentres[1], servers, now + 1s);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].count == before * 3 / 2);
+    // With all evacuated there is nowhere else to go.
+    planner.setEvacuated({ dataCentres.begin(), dataCentres.end() });
+    CHECK(sumOf(planner.plan(deployment)).onDemand >= before * 3);
+}
+
 } // namespace lagoonspoke
--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -73,6 +73,7 @@
     settings.answersIdleTimeout = reader.readBool("answers_idle_timeout", settings.answersIdleTimeout);
     settings.leaseTerm = reader.readMilliseconds("lease_term_ms", 1s, 1min, settings.leaseTerm);
     settings.capacityHeadroom = reader.readNumber("capacity_headroom", 1, 100, settings.capacityHeadroom);
+    settings.watchesEvacuations = reader.readBool("watches_evacuations", settings.watchesEvacuations);
     if (reader.has("cold_rate_factor")) {
         settings.coldRateFactor = reader.readNumber("cold_rate_factor", 0.1, 1000);
     }
--- a/src/settings/DaemonSettings.h
+++ b/src/settings/DaemonSettings.h
@@ -68,6 +68,8 @@
     // Backend servers that are kept for each one that the mean load keeps busy. Bursts of three times the mean come
     // sooner than new servers start.
     double capacityHeadroom = 3;
+    // Whether operators may evacuate data centres through the store.
+    bool watchesEvacuations = false;
     // Requests that a cold backend server may get in any one second, from all instances together: the factor times what
     // it tolerates by the configuration, and the slack. Cold servers are not treated separately without a factor.
     std::optional<double> coldRateFactor = {};
