--- a/tools/scenario/Process.cpp
+++ b/tools/scenario/Process.cpp
@@ -1,6 +1,7 @@
 #include "tools/scenario/Process.h"
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 
@@ -119,6 +120,29 @@
     return resident * sysconf(_SC_PAGESIZE) / 1024;
 }
 
+std::optional<std::int64_t> Process::peakResidentKilobytes() const
+{
+    std::ifstream in("/proc/" + std::to_string(m_state->child.id()) + "/status");
+    std::string word;
+    std::int64_t kilobytes = 0;
+    while (in >> word) {
+        if (word == "VmHWM:" && in >> kilobytes) {
+            return kilobytes;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::size_t> Process::descriptorCount() const
+{
+    std::error_code ec;
+    std::filesystem::directory_iterator list("/proc/" + std::to_string(m_state->child.id()) + "/fd", ec);
+    if (ec) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(std::distance(begin(list), end(list)));
+}
+
 std::optional<std::string> Process::listeningField(const std::string& key) const
 {
     auto it = m_state->listening.find(key);
--- a/tools/scenario/Process.h
+++ b/tools/scenario/Process.h
@@ -27,6 +27,9 @@
     // Processor time used so far, in milliseconds, and resident memory, in kilobytes; nothing after the program ended.
     std::optional<double> cpuMilliseconds() const;
     std::optional<std::int64_t> residentKilobytes() const;
+    // The highest resident memory so far, in kilobytes, and the open descriptors; nothing after the program ended.
+    std::optional<std::int64_t> peakResidentKilobytes() const;
+    std::optional<std::size_t> descriptorCount() const;
     // Value of a key in the "listening" log line, or nothing before that line.
     std::optional<std::string> listeningField(const std::string& key) const;
     // Number of log lines that contain the text.
