Bound what callers may make the daemon hold, and refuse statuses of no class

Cause: the parser waits for the end of trailers and chunk lines without counting them; bodies were bounded one by one, not together; connections without a request held their places. A status of 000 counted as an interim answer, so its caller waited for the whole deadline; 999 was passed on. Change: the read buffer of a connection is bounded (max_unparsed_bytes), the requests of all connections together too (max_held_request_bytes), refused as not run; a connection without a request makes room for a new one; connections take at most half of the descriptors (max_descriptors). Each limit has a metric and a log line. An answer whose status is not 100 to 599 ends the attempt. The test of a refused connection now has the first connection run a request, as an idle one makes room; that is a test of its own.

--- a/include/lagoonspoke/core/Error.h
+++ b/include/lagoonspoke/core/Error.h
@@ -24,6 +24,7 @@
     TimedOut, // no answer within the bound; the effect is unknown
     ProtocolViolation,
     TooLarge,
+    Overloaded, // what is held for others leaves no room
 };
 
 std::string_view toString(ErrorCode);
--- a/src/core/Error.cpp
+++ b/src/core/Error.cpp
@@ -32,6 +32,8 @@
         return "protocol_violation";
     case ErrorCode::TooLarge:
         return "too_large";
+    case ErrorCode::Overloaded:
+        return "overloaded";
     }
     return "invalid_argument";
 }
--- a/src/daemon/TrafficThread.cpp
+++ b/src/daemon/TrafficThread.cpp
@@ -1,5 +1,7 @@
 #include "daemon/TrafficThread.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "entry/InstallationLimits.h"
@@ -19,17 +21,31 @@
     limits.answersIdleTimeout = settings.answersIdleTimeout;
     limits.maxHeaderBytes = static_cast<std::size_t>(settings.maxHeaderBytes);
     limits.maxBodyBytes = static_cast<std::size_t>(settings.maxBodyBytes);
+    limits.maxUnparsedBytes = static_cast<std::size_t>(settings.maxUnparsedBytes);
     limits.idleTimeout = settings.idleTimeout;
     limits.readTimeout = settings.readTimeout;
     limits.writeTimeout = settings.writeTimeout;
     return limits;
 }
 
-HttpServer::Options makeServerOptions(const DaemonSettings& settings)
+// The other half of the descriptors is for connections to backend servers, peers and the store.
+std::int64_t mostConnections(const DaemonSettings& settings)
+{
+    return settings.maxDescriptors > 0
+        ? std::clamp<std::int64_t>(settings.maxDescriptors / 2, 1, settings.maxConnections)
+        : settings.maxConnections;
+}
+
+HttpServer::Options makeServerOptions(const DaemonSettings& settings, RequestMetrics& metrics)
 {
     HttpServer::Options options;
     options.limits = makeLimits(settings);
-    options.maxConnections = static_cast<std::size_t>(settings.maxConnections);
+    options.maxConnections = static_cast<std::size_t>(mostConnections(settings));
+    options.maxHeldBytes = static_cast<std::size_t>(settings.maxHeldRequestBytes);
+    options.limitReached = [&metrics](std::string_view limit) {
+        metrics.countCallerLimit(limit);
+        LogLine(LogLevel::Warning, "caller_limit_reached").add("limit", limit);
+    };
     options.sharePort = true;
     return options;
 }
@@ -43,7 +59,7 @@
     std::unique_ptr<TrafficThread> thread(
         new TrafficThread(index, settings, dialect, metrics, std::move(send), control));
     auto handler = [service = &thread->m_service](HttpExchange& exchange) { return service->handle(exchange); };
-    auto server = HttpServer::Make(thread->m_io, endpoint, makeServerOptions(settings), handler);
+    auto server = HttpServer::Make(thread->m_io, endpoint, makeServerOptions(settings, metrics), handler);
     if (!server) {
         return tl::make_unexpected(server.error());
     }
--- a/src/entry/BackendConnection.cpp
+++ b/src/entry/BackendConnection.cpp
@@ -13,6 +13,9 @@
 
 // Bounds the interim (1xx) responses before the response itself.
 constexpr int maxInterim = 8;
+// Other statuses have no class, so they say neither how an answer ends nor what it means (RFC 9110, section 15).
+constexpr unsigned lowestStatus = 100;
+constexpr unsigned highestStatus = 599;
 constexpr std::uint32_t maxHeadBytes = 64 * 1024;
 // Bounds what is read without becoming part of a body: chunk size lines with their extensions, and trailers. The parser
 // itself waits for their ends without a bound.
@@ -144,7 +147,11 @@
         m_parser->header_limit(maxHeadBytes);
         m_parser->skip(headRequest);
         auto ec = co_await readHeader();
-        if (ec || m_parser->get().result_int() >= 200) {
+        auto status = m_parser->get().result_int();
+        if (!ec && (status < lowestStatus || status > highestStatus)) {
+            co_return error_code(http::error::bad_status);
+        }
+        if (ec || status >= 200) {
             co_return ec;
         }
     }
--- a/src/entry/CallerLimitsTest.cpp
+++ b/src/entry/CallerLimitsTest.cpp
@@ -134,12 +134,54 @@
 TEST_CASE("a connection over the limit is refused with an error")
 {
     Fixture f([](DaemonSettings& it) { it.maxConnections = 1; });
+    f.first.add({ Hold {} });
     f.run([&]() -> asio::awaitable<void> {
         RawCaller holder(f.io);
         co_await holder.connect(f.server->endpoint());
-        co_await f.until([&] { return f.server->connectionCount() == 1; });
+        co_await holder.send("GET /open/a HTTP/1.1\r\nhost: h\r\n\r\n");
+        co_await f.until([&] { return f.server->activeRequestCount() == 1; });
         auto response13 = co_await f.ask(completion("", plainBody));
         REQUIRE(contains(response13, "too_many_connections"));
+        CHECK(f.server->connectionCount() == 1);
+    });
+}
+
+// Guards against callers that hold all connections without a request and keep every other caller out.
+TEST_CASE("a connection without a request makes room for a new one")
+{
+    Fixture f([](DaemonSettings& it) { it.maxConnections = 1; });
+    f.first.add({ Send { wholeAnswer("{}") } });
+    auto begun = GENERATE(std::string(), std::string("GET /open/a HTT"));
+    f.run([&]() -> asio::awaitable<void> {
+        RawCaller holder(f.io);
+        co_await holder.connect(f.server->endpoint());
+        co_await f.until([&] { return f.server->connectionCount() == 1; });
+        co_await holder.send(begun);
+        auto response = co_await f.ask(completion("", plainBody));
+        CHECK(contains(response, "200 OK"));
+    });
+}
+
+// Guards against bodies that together take the memory of the process although each is inside the limit.
+TEST_CASE("a large body is refused as not run while too much is held, and small requests go on")
+{
+    Fixture f([](DaemonSettings& it) { it.maxHeldRequestBytes = 1 << 20; });
+    f.first.add({ Send { wholeAnswer("{}") } });
+    f.run([&]() -> asio::awaitable<void> {
+        RawCaller holder(f.io);
+        co_await holder.connect(f.server->endpoint());
+        co_await holder.send("POST /app/a HTTP/1.1\r\nhost: h\r\nauthorization: Bearer key-1234567890\r\n"
+                             "content-length: 4000000\r\n\r\n"
+            + std::string(900 << 10, 'x'));
+        co_await f.until([&] { return f.server->heldBytes() >= 900 << 10; });
+        auto refused = co_await f.ask("POST /app/a HTTP/1.1\r\nhost: h\r\nauthorization: Bearer key-1234567890\r\n"
+                                      "content-length: 400000\r\n\r\n"
+            + std::string(400000, 'x'));
+        CHECK(contains(refused, "503"));
+        CHECK(contains(refused, "not-run"));
+        auto small = co_await f.ask(completion("", plainBody));
+        CHECK(contains(small, "200 OK"));
+        CHECK(f.server->heldBytes() < 1000 << 10);
     });
 }
 
--- a/src/entry/EndlessAnswerTest.cpp
+++ b/src/entry/EndlessAnswerTest.cpp
@@ -71,6 +71,25 @@
     }
 }
 
+// Guards against a caller that waits for its whole deadline, or gets the status as an answer: 000 counted as an interim
+// answer, and 999 was passed on.
+TEST_CASE("an answer whose status is none of the protocol ends the attempt, and the request goes on elsewhere")
+{
+    auto status
+        = GENERATE(std::string("000"), std::string("099"), std::string("600"), std::string("999"), std::string("abc"));
+    INFO(status);
+    Fixture f;
+    f.first.add({ Send { "HTTP/1.1 " + status + " X\r\nx-request-id: ID\r\ncontent-length: 2\r\n\r\n{}" }, Hold {} });
+    f.second.add({ Send { wholeAnswer(R"({"whole":1})") } });
+    f.run([&]() -> asio::awaitable<void> {
+        auto response = co_await f.ask(completion("", plainBody));
+        CHECK(contains(response, "HTTP/1.1 200 OK"));
+        CHECK(response.ends_with(R"({"whole":1})"));
+    });
+    REQUIRE_FALSE(f.finished.empty());
+    CHECK(f.finished.front().outcome != FinishOutcome::Completed);
+}
+
 // Guards against bytes that follow a complete answer: they are no answer to the next request.
 TEST_CASE("an endless tail after a whole answer is cut off with its connection")
 {
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -25,6 +25,8 @@
     switch (code) {
     case ErrorCode::TooLarge:
         return CallerError::BodyTooLarge;
+    case ErrorCode::Overloaded:
+        return CallerError::Overloaded;
     case ErrorCode::TimedOut:
         return CallerError::BodyTimeout;
     case ErrorCode::Unavailable:
--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -56,7 +56,18 @@
         co_return tooLarge();
     }
     ReadBound bound(m_connection.stream, m_limits.readTimeout);
-    auto [ec, n] = co_await http::async_read(m_connection.stream, m_connection.buffer, m_parser, useTuple);
+    m_parser.eager(true);
+    error_code ec;
+    while (!ec && !m_parser.is_done()) {
+        auto [readError, n]
+            = co_await http::async_read_some(m_connection.stream, m_connection.buffer, m_parser, useTuple);
+        ec = readError;
+        m_connection.held.set(m_parser.get().body().size() + m_connection.buffer.size());
+        if (!ec && !m_connection.held.isAdmitted()) {
+            m_keepAlive = false;
+            co_return makeError(ErrorCode::Overloaded, "too many bytes of requests are held");
+        }
+    }
     if (!ec) {
         co_return std::move(m_parser.get().body());
     }
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "http/Asio.h"
+#include "http/HeldInput.h"
 #include "lagoonspoke/core/Error.h"
 
 namespace lagoonspoke {
@@ -18,8 +19,9 @@
 
 // A connection of a caller, over all its requests. Owned by HttpServer.
 struct HttpConnection {
-    explicit HttpConnection(tcp::socket socket)
+    HttpConnection(tcp::socket socket, const HeldInput& input)
         : stream(std::move(socket))
+        , held(input)
     {
     }
 
@@ -28,6 +30,7 @@
     // Set by the handler, such as the digest of the API key that the last request carried; lets the owner of the
     // server close the idle connections of one caller.
     std::string owner;
+    HeldInput::Share held; // of the present request
 };
 
 // One request of a connection and the response to it. Owned by HttpServer's session for the time of its handler.
@@ -37,6 +40,9 @@
     struct Limits {
         std::size_t maxHeaderBytes = 16 * 1024;
         std::size_t maxBodyBytes = 8 * 1024 * 1024;
+        // Of what is read without becoming part of a head or a body: lines of chunks, trailers, and input that was read
+        // ahead. The parser itself waits for the end of a line or of the trailers without a limit.
+        std::size_t maxUnparsedBytes = 64 * 1024;
         std::chrono::nanoseconds idleTimeout = std::chrono::seconds(60);
         std::chrono::nanoseconds readTimeout = std::chrono::seconds(10);
         std::chrono::nanoseconds writeTimeout = std::chrono::seconds(10);
@@ -47,12 +53,16 @@
 
     // The reference to serverClosing is read when a response starts: it then says "Connection: close".
     HttpExchange(HttpConnection&, Parser&, const Limits&, const bool& serverClosing);
+    ~HttpExchange() { m_connection.held.set(0); }
+    HttpExchange(const HttpExchange&) = delete;
+    HttpExchange& operator=(const HttpExchange&) = delete;
 
     const Parser::value_type& request() const { return m_parser.get(); }
     std::string_view target() const;
     std::string_view header(std::string_view name) const;
 
-    // Reads the body. Errors: TooLarge, TimedOut, ProtocolViolation; Unavailable when the connection ended.
+    // Reads the body. Errors: TooLarge, TimedOut, ProtocolViolation; Overloaded when too much is held for all callers;
+    // Unavailable when the connection ended.
     asio::awaitable<Outcome<std::string>> readBody();
 
     asio::awaitable<error_code> respond(
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -26,12 +26,18 @@
 };
 
 struct Session {
-    explicit Session(tcp::socket socket)
-        : connection(std::move(socket))
+    Session(tcp::socket socket, const HeldInput& held)
+        : connection(std::move(socket), held)
     {
     }
+    void enter(Phase next)
+    {
+        phase = next;
+        since = std::chrono::steady_clock::now();
+    }
     HttpConnection connection;
     Phase phase = Phase::Idle;
+    std::chrono::steady_clock::time_point since = std::chrono::steady_clock::now(); // in this phase
 };
 
 struct ActiveCount {
@@ -101,6 +107,7 @@
         , acceptor(context)
         , options(std::move(serverOptions))
         , handler(std::move(requestHandler))
+        , held(options.maxHeldBytes)
     {
     }
 
@@ -112,6 +119,16 @@
     bool closing = false;
     std::size_t active = 0;
     std::shared_ptr<std::size_t> rejecting = std::make_shared<std::size_t>(0);
+    HeldInput held;
+
+    void reportLimit(std::string_view limit) const
+    {
+        if (options.limitReached) {
+            options.limitReached(limit);
+        }
+    }
+    // Closes a connection that runs no request; returns whether there was one.
+    bool evictConnection();
 
     static asio::awaitable<void> acceptConnections(std::shared_ptr<State>);
     static asio::awaitable<void> runSession(std::shared_ptr<State>, std::list<Session>::iterator);
@@ -199,6 +216,11 @@
     return m_state->sessions.size();
 }
 
+std::size_t HttpServer::heldBytes() const
+{
+    return m_state->held.total();
+}
+
 std::size_t HttpServer::activeRequestCount() const
 {
     return m_state->active;
@@ -217,7 +239,8 @@
             co_await timer.async_wait(useTuple);
             continue;
         }
-        if (state->sessions.size() >= state->options.maxConnections) {
+        if (state->sessions.size() >= state->options.maxConnections && !state->evictConnection()) {
+            state->reportLimit("connections");
             if (*state->rejecting < maxRejecting) {
                 asio::co_spawn(state->io, rejectConnection(std::move(socket), state->rejecting), asio::detached);
             }
@@ -225,11 +248,30 @@
         }
         setLivenessOptions(
             socket, std::chrono::duration_cast<std::chrono::milliseconds>(state->options.limits.writeTimeout));
-        auto it = state->sessions.emplace(state->sessions.end(), std::move(socket));
+        auto it = state->sessions.emplace(state->sessions.end(), std::move(socket), state->held);
         asio::co_spawn(state->io, runSession(state, it), asio::detached);
     }
 }
 
+bool HttpServer::State::evictConnection()
+{
+    Session* oldest = nullptr;
+    auto rank = [](const Session& it) { return std::pair(it.phase != Phase::Idle, it.since); };
+    for (auto& session : sessions) {
+        bool runsNothing = session.phase == Phase::Idle || session.phase == Phase::ReadingHead;
+        if (runsNothing && (!oldest || rank(session) < rank(*oldest))) {
+            oldest = &session;
+        }
+    }
+    if (!oldest) {
+        return false;
+    }
+    reportLimit("idle_connections");
+    oldest->enter(Phase::Closing);
+    oldest->connection.stream.close();
+    return true;
+}
+
 asio::awaitable<void> HttpServer::State::runSession(std::shared_ptr<State> state, std::list<Session>::iterator it)
 {
     bool more = true;
@@ -248,7 +290,7 @@
 // Waits for the first byte of a request; false when the connection is to be closed.
 asio::awaitable<bool> HttpServer::State::waitForRequest(State& state, Session& session)
 {
-    session.phase = Phase::Idle;
+    session.enter(Phase::Idle);
     auto& stream = session.connection.stream;
     if (session.connection.buffer.size() > 0) {
         co_return true;
@@ -278,10 +320,11 @@
 
 asio::awaitable<bool> HttpServer::State::runRequest(State& state, Session& session)
 {
-    session.phase = Phase::ReadingHead;
+    session.enter(Phase::ReadingHead);
     // A request counts from its first byte, so that a shutdown waits for it.
     ActiveCount count(state.active);
     auto& connection = session.connection;
+    connection.buffer.max_size(state.options.limits.maxHeaderBytes + state.options.limits.maxUnparsedBytes);
     HttpExchange::Parser parser;
     parser.header_limit(static_cast<std::uint32_t>(state.options.limits.maxHeaderBytes));
     // HttpExchange::readBody() limits the body, after the head could be answered.
@@ -295,6 +338,9 @@
         timedOut = bound.expired();
     }
     if (ec) {
+        if (session.phase == Phase::Closing) {
+            co_return false;
+        }
         if (timedOut) {
             co_await reject(connection.stream, CallerError::HeaderTimeout);
         } else if (isMalformedHead(ec)) {
@@ -303,9 +349,14 @@
         }
         co_return false;
     }
-    session.phase = Phase::Active;
+    session.enter(Phase::Active);
     HttpExchange exchange(connection, parser, state.options.limits, state.closing);
     co_await state.handler(exchange);
+    if (!connection.held.isAdmitted()) {
+        state.reportLimit("held_bytes");
+    } else if (!parser.is_done() && connection.buffer.size() == connection.buffer.max_size()) {
+        state.reportLimit("unparsed_bytes");
+    }
     co_return exchange.keepAlive();
 }
 
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <string_view>
 
 #include "http/HttpExchange.h"
 
@@ -16,7 +17,13 @@
 
     struct Options {
         HttpExchange::Limits limits;
+        // Beyond it, the connection that has been idle for longest makes room for a new one, or one whose head is not
+        // complete.
         std::size_t maxConnections = 4096;
+        // Bytes of the requests of all connections that are held at the same time.
+        std::size_t maxHeldBytes = 32 << 20;
+        // Called when a limit was reached that ordinary callers do not reach, with its name.
+        std::function<void(std::string_view limit)> limitReached = {};
         // Lets several servers, one for each thread, listen on the same port.
         bool sharePort = false;
     };
@@ -37,6 +44,8 @@
     void abortConnections();
     std::size_t connectionCount() const;
     std::size_t activeRequestCount() const;
+    // Bytes of requests that are held at present.
+    std::size_t heldBytes() const;
 
 private:
     struct State;
--- a/src/observe/RequestMetrics.cpp
+++ b/src/observe/RequestMetrics.cpp
@@ -44,6 +44,10 @@
                           .Name("lagoonspoke_stream_takeups_total")
                           .Help("Streams that callers take up, by where the version that began them is known from.")
                           .Register(registry))
+    , m_callerLimits(prometheus::BuildCounter()
+                         .Name("lagoonspoke_caller_limits_total")
+                         .Help("Connections and requests of callers that reached a limit of their input.")
+                         .Register(registry))
 {
 }
 
@@ -88,6 +92,11 @@
     m_streamTakeUps.Add({ { "known_from", std::string(knownFrom) } }).Increment();
 }
 
+void RequestMetrics::countCallerLimit(std::string_view limit)
+{
+    m_callerLimits.Add({ { "limit", std::string(limit) } }).Increment();
+}
+
 void RequestMetrics::countUnknown(std::string_view code)
 {
     m_outcomes.Add({ { "class", "none" }, { "team", "none" }, { "code", std::string(code) } }).Increment();
--- a/src/observe/RequestMetrics.h
+++ b/src/observe/RequestMetrics.h
@@ -41,6 +41,8 @@
     void countUnknown(std::string_view code);
     // Counts bytes of a stream that are no event of it.
     void countStreamFault(std::string_view fault);
+    // Counts a caller's connection or request that reached a limit which ordinary callers do not reach.
+    void countCallerLimit(std::string_view limit);
     // Counts a stream that a caller takes up, by where the version that began it is known from.
     void countStreamTakeUp(std::string_view knownFrom);
 
@@ -55,6 +57,7 @@
     prometheus::Family<prometheus::Counter>& m_outcomes;
     prometheus::Family<prometheus::Counter>& m_streamFaults;
     prometheus::Family<prometheus::Counter>& m_streamTakeUps;
+    prometheus::Family<prometheus::Counter>& m_callerLimits;
     std::mutex m_mutex;
     std::set<TeamId> m_teams;
     std::map<std::pair<ClassName, std::string>, std::unique_ptr<Series>> m_series;
--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -73,6 +73,7 @@
     settings.answersIdleTimeout = reader.readBool("answers_idle_timeout", settings.answersIdleTimeout);
     settings.leaseTerm = reader.readMilliseconds("lease_term_ms", 1s, 1min, settings.leaseTerm);
     settings.capacityHeadroom = reader.readNumber("capacity_headroom", 1, 100, settings.capacityHeadroom);
+    settings.pacesRecoveringServers = reader.readBool("paces_recovering_servers", settings.pacesRecoveringServers);
     settings.watchesEvacuations = reader.readBool("watches_evacuations", settings.watchesEvacuations);
     if (reader.has("cold_rate_factor")) {
         settings.coldRateFactor = reader.readNumber("cold_rate_factor", 0.1, 1000);
@@ -114,6 +115,7 @@
 {
     to.maxHeaderBytes = from.maxHeaderBytes;
     to.maxBodyBytes = from.maxBodyBytes;
+    to.maxUnparsedBytes = from.maxUnparsedBytes;
     to.idleTimeout = from.idleTimeout;
     to.readTimeout = from.readTimeout;
     to.writeTimeout = from.writeTimeout;
@@ -149,6 +151,10 @@
     settings.maxHeaderBytes = reader.readInteger("max_header_bytes", 1024, 1 << 20, settings.maxHeaderBytes);
     settings.maxBodyBytes = reader.readInteger("max_body_bytes", 1024, 1 << 30, settings.maxBodyBytes);
     settings.maxConnections = reader.readInteger("max_connections", 1, 1 << 20, settings.maxConnections);
+    settings.maxDescriptors = reader.readInteger("max_descriptors", 0, 1 << 30, settings.maxDescriptors);
+    settings.maxUnparsedBytes = reader.readInteger("max_unparsed_bytes", 1024, 1 << 30, settings.maxUnparsedBytes);
+    settings.maxHeldRequestBytes
+        = reader.readInteger("max_held_request_bytes", 1 << 16, std::int64_t { 1 } << 40, settings.maxHeldRequestBytes);
     readTimeouts(reader, settings);
     readConventions(reader, settings);
     readPlatform(reader, settings);
--- a/src/settings/DaemonSettings.h
+++ b/src/settings/DaemonSettings.h
@@ -41,6 +41,12 @@
     std::int64_t maxHeaderBytes = 16 * 1024;
     std::int64_t maxBodyBytes = 8 * 1024 * 1024;
     std::int64_t maxConnections = 4096;
+    // Descriptors that the process may open; callers' connections take at most half of them. 0 when unknown.
+    std::int64_t maxDescriptors = 0;
+    // Of a caller's input that is no part of a head or a body, such as trailers and lines of chunks.
+    std::int64_t maxUnparsedBytes = 64 * 1024;
+    // Of the requests of all callers that are held at the same time, for each traffic thread.
+    std::int64_t maxHeldRequestBytes = 32 << 20;
     Duration idleTimeout = std::chrono::seconds(60);
     Duration readTimeout = std::chrono::seconds(10);
     Duration writeTimeout = std::chrono::seconds(10);
@@ -65,6 +71,8 @@
     Duration leaseTerm = std::chrono::seconds(10);
     // Time from the end of a usage window until its report is due.
     Duration usageReportBound = std::chrono::seconds(10);
+    // Whether servers that start or recover get their load step by step.
+    bool pacesRecoveringServers = false;
     // Backend servers that are kept for each one that the mean load keeps busy. Bursts of three times the mean come
     // sooner than new servers start.
     double capacityHeadroom = 3;
