Size stream engines by prompts, and start recovering servers slowly

Cause: streams with a pause target of 150 ms shared 2 or 3 engines, as they have the slots, and stood still while each other's prompts were read. Servers that start or recover got their full load at once. Change: StreamEngineSizing derives the number of stream engines from the arrivals, their prompts, the pause target and the engines' rates, and gives way while other prompts wait; it applies where the target leaves less than 50 ms for a token. ServerPace bounds the concurrency of a server that starts, recovers or is used again, by its answers; off by default (paces_recovering_servers). The preemptor runs with the scheduler. Logs of peers' messages, resyncs and late timers.

--- a/src/daemon/ControlLoop.cpp
+++ b/src/daemon/ControlLoop.cpp
@@ -35,6 +35,7 @@
     } else if (settings.dispatchPolicy == "power-of-two") {
         options.policy = DispatchPolicy::PowerOfTwo;
     }
+    options.pacesRecoveringServers = settings.pacesRecoveringServers;
     return options;
 }
 
@@ -87,7 +88,13 @@
 
 void ControlLoop::handlePeerMessage(const InstanceId& from, std::string_view payload)
 {
+    ++m_traffic.messages;
+    m_traffic.bytes += payload.size();
     if (auto packet = decodePlacementPacket(payload)) {
+        if (std::holds_alternative<Resync>(packet->message)) {
+            ++m_traffic.resyncs;
+            m_traffic.resyncBytes += payload.size();
+        }
         route(PeerMessage { from, std::move(*packet) });
     } else {
         LogLine(LogLevel::Warning, "peer_message_refused")
@@ -326,6 +333,7 @@
                        [&](PublishFloor& it) { publishFloor(domain, it.floor); },
                        [&](RequestLimitChanged& it) { logRequestLimit(domain, it); },
                        [&](RejectionLimitChanged& it) { logRejectionLimit(domain, it); },
+                       [&](ServerPaceChanged& it) { logPace(domain, it); },
                        [&](PublishQuarantine& it) {
                            logQuarantine(domain, it);
                            QuarantineReceived quarantine { it.fingerprint, it.remaining, std::move(it.companions) };
@@ -359,9 +367,11 @@
         m_timer.cancel();
         return;
     }
-    m_timer.expires_after(std::max(Duration(0), *next - readMonotonicClock()));
+    m_timerDue = std::max(*next, readMonotonicClock());
+    m_timer.expires_after(m_timerDue - readMonotonicClock());
     m_timer.async_wait([this](error_code ec) {
         if (!ec) {
+            m_traffic.timerDelay = std::max(m_traffic.timerDelay, readMonotonicClock() - m_timerDue);
             fireTimers();
         }
     });
--- a/src/daemon/ControlLoop.h
+++ b/src/daemon/ControlLoop.h
@@ -59,6 +59,7 @@
     void execute(const DomainId&, std::vector<DispatchAction>);
     void logRefusal(const DomainId&, const SendToEntry&, MonotonicTime now) const;
     static void logRequestLimit(const DomainId&, const RequestLimitChanged&);
+    static void logPace(const DomainId&, const ServerPaceChanged&);
     static void logRejectionLimit(const DomainId&, const RejectionLimitChanged&);
     // Logs which servers were added or removed, leave, or are used again although they were known to leave.
     void logServerChanges(const std::vector<BackendServer>& servers) const;
@@ -85,6 +86,16 @@
     std::deque<RouterAction> m_work; // actions lead to events and further actions; a queue keeps the stack flat
     bool m_working = false;
     MonotonicTime m_dispatchersLogged {};
+    // What came from peers since the last log line of the dispatchers, and how late the timer fired at most.
+    struct PeerTraffic {
+        std::uint64_t messages = 0;
+        std::uint64_t bytes = 0;
+        std::uint64_t resyncs = 0;
+        std::uint64_t resyncBytes = 0;
+        Duration timerDelay {};
+    };
+    PeerTraffic m_traffic;
+    MonotonicTime m_timerDue {};
 };
 
 } // namespace lagoonspoke
--- a/src/daemon/ControlLoopLog.cpp
+++ b/src/daemon/ControlLoopLog.cpp
@@ -103,6 +103,14 @@
         .add("entry", change.entry.value());
 }
 
+void ControlLoop::logPace(const DomainId& domain, const ServerPaceChanged& change)
+{
+    LogLine(LogLevel::Info, change.begun ? "server_pace_began" : "server_pace_ended")
+        .add("domain", domain.value())
+        .add("server", change.server.value())
+        .add("reason", change.begun ? toString(*change.begun) : "full_share");
+}
+
 void ControlLoop::logQuarantine(const DomainId& domain, const PublishQuarantine& quarantine)
 {
     LogLine(LogLevel::Warning, "quarantined")
@@ -123,7 +131,9 @@
         if (waiting.empty() && summary.suspects == 0) {
             continue;
         }
+        auto elapsed = toMilliseconds(now - m_dispatchersLogged);
         m_dispatchersLogged = now;
+        auto traffic = std::exchange(m_traffic, {});
         LogLine(LogLevel::Info, "requests_waiting")
             .add("domain", domain.value())
             .add("by_tier", waiting)
@@ -137,10 +147,18 @@
             .add("ejected", summary.ejectedServers)
             .add("limited", summary.limitedServers)
             .add("cold", summary.coldServers)
+            .add("paced", summary.pacedServers)
             .add("isolated", summary.isolatedServers)
             .add("busy_slots", summary.busySlots)
             .add("reading", summary.serversWithUnreadPrompts)
-            .add("unread_ms", toMilliseconds(summary.meanTimeToRead));
+            .add("unread_ms", toMilliseconds(summary.meanTimeToRead))
+            .add("elapsed_ms", elapsed)
+            .add("messages", traffic.messages)
+            .add("message_bytes", traffic.bytes)
+            .add("resyncs", traffic.resyncs)
+            .add("resync_bytes", traffic.resyncBytes)
+            .add("timer_delay_ms", toMilliseconds(traffic.timerDelay))
+            .add("resyncs_sent", m_router.resyncsSent());
     }
 }
 
--- a/src/dispatch/DispatchOptions.h
+++ b/src/dispatch/DispatchOptions.h
@@ -27,6 +27,8 @@
     // Streams whose class has this token gap target or a shorter one are kept separate from long prompts; zero
     // disables this.
     Duration shortestGapTarget {};
+    // Tokens in one event of a stream.
+    int tokensPerEvent = 1;
     // Time within which an entry must start a granted request. A grant without any report expires shortly after it.
     Duration grantExpiry = std::chrono::seconds(2);
     // For this time after a takeover, no request is refused for lack of capacity, as entries are still sending their
@@ -44,6 +46,8 @@
     Duration longestQuarantine = std::chrono::minutes(10);
     // A peer's floor expires if it is not received again within this time.
     Duration floorLifetime = std::chrono::seconds(3);
+    // Whether servers that start or recover get their load step by step; see ServerPace.
+    bool pacesRecoveringServers = false;
     // Mechanisms that ablation measurements switch off one at a time.
     bool usePreemption = true;
     bool useReserve = true;
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -8,6 +8,7 @@
 
 #include "dispatch/DispatchCounters.h"
 #include "dispatch/DispatchOptions.h"
+#include "dispatch/servers/ServerPace.h"
 #include "lagoonspoke/config/ConfigurationSnapshot.h"
 #include "lagoonspoke/dispatch/BackendServer.h"
 #include "lagoonspoke/dispatch/Messages.h"
@@ -121,8 +122,14 @@
     InstanceId entry;
 };
 
-using DispatchAction
-    = std::variant<SendToEntry, PublishQuarantine, PublishFloor, RequestLimitChanged, RejectionLimitChanged>;
+// For the log: a backend server gets its load step by step from now on, or no longer.
+struct ServerPaceChanged {
+    BackendServerId server;
+    std::optional<PaceReason> begun; // empty when it ended
+};
+
+using DispatchAction = std::variant<SendToEntry, PublishQuarantine, PublishFloor, RequestLimitChanged,
+    RejectionLimitChanged, ServerPaceChanged>;
 
 struct DispatchLoad {
     // Granted and waiting requests.
@@ -147,6 +154,7 @@
     int ejectedServers = 0;
     int limitedServers = 0; // that name a request limit
     int coldServers = 0;
+    int pacedServers = 0; // that get their load step by step
     int isolatedServers = 0; // reserved for a suspect request, or running one
     int busySlots = 0;
     int serversWithUnreadPrompts = 0; // with prompts that are not fully read yet
--- a/src/dispatch/placement/PartHomesTest.cpp
+++ b/src/dispatch/placement/PartHomesTest.cpp
@@ -44,9 +44,9 @@
     ServerPool first(options);
     ServerPool second(options);
     auto servers = makeServers(40);
-    first.replace(servers);
+    first.replace(servers, MonotonicTime());
     std::ranges::reverse(servers);
-    second.replace(servers);
+    second.replace(servers, MonotonicTime());
     PartHomes firstHomes;
     PartHomes secondHomes;
     auto found = findAll(first, firstHomes);
@@ -69,12 +69,12 @@
     DispatchOptions options;
     ServerPool pool(options);
     auto servers = makeServers(40);
-    pool.replace(servers);
+    pool.replace(servers, MonotonicTime());
     PartHomes homes;
     auto before = findAll(pool, homes);
     auto gone = servers[7].id;
     servers[7].leaving = true;
-    pool.replace(servers);
+    pool.replace(servers, MonotonicTime());
     auto after = findAll(pool, homes);
     for (std::size_t part = 0; part < before.size(); ++part) {
         INFO(part);
@@ -92,7 +92,7 @@
     ServerPool pool(options);
     PartHomes homes;
     CHECK(homes.find(PrefixBlock(1), pool).empty());
-    pool.replace(makeServers(2));
+    pool.replace(makeServers(2), MonotonicTime());
     CHECK(homes.find(PrefixBlock(1), pool).size() == 2);
 }
 
--- a/src/dispatch/placement/PromptPlacement.cpp
+++ b/src/dispatch/placement/PromptPlacement.cpp
@@ -45,6 +45,13 @@
 // they do not use are lost for all other requests.
 constexpr double maxStreamLoad = 0.65;
 constexpr double minStreamLoad = 0.4;
+// Bursts last for some seconds.
+constexpr double readingAverageSeconds = 2;
+// Of the engines' token rates: what an engine reaches that reads no prompts, and a slow one. The rates of single
+// engines also contain the streams' stalls.
+constexpr double fastQuantile = 0.9;
+constexpr double slowQuantile = 0.1;
+constexpr double mostSlowness = 2.5;
 
 } // namespace
 
@@ -275,8 +282,11 @@
     }
 }
 
-void PromptPlacement::recordGrant(const ServerState& state)
+void PromptPlacement::recordGrant(const ServerState& state, Duration reading, bool gapSensitive, MonotonicTime)
 {
+    auto& rate = gapSensitive ? m_streamReading : m_otherReading;
+    rate.seconds += toSeconds(reading);
+    ++rate.prompts;
     if (m_rankedRun != m_schedulerRun) {
         return;
     }
@@ -292,16 +302,84 @@
     std::rotate(it, it + 1, position);
 }
 
-void PromptPlacement::removeStreamEngines(int streams, int slots)
+std::vector<const ServerState*> PromptPlacement::rankForRemoval() const
 {
     std::vector<const ServerState*> engines;
     for (const auto& id : m_streamEngines) {
         engines.push_back(m_pool.find(id));
     }
-    // Those with the fewest streams are free for other work soonest.
     std::ranges::stable_sort(
         engines, {}, [](const ServerState* it) { return std::pair(!it->server.cheap, it->gapSensitive); });
-    for (const auto* engine : engines) {
+    return engines;
+}
+
+void PromptPlacement::removeStreamEngines(int wanted)
+{
+    for (const auto* engine : rankForRemoval()) {
+        if (static_cast<int>(m_streamEngines.size()) <= wanted) {
+            return;
+        }
+        m_streamEngines.erase(engine->server.id);
+    }
+}
+
+void PromptPlacement::ReadingRate::average(double elapsed)
+{
+    auto newest = std::min(1.0, elapsed / readingAverageSeconds);
+    perSecond += newest * (seconds / elapsed - perSecond);
+    if (prompts > 0) {
+        perPrompt += (perPrompt > 0 ? newest : 1) * (seconds / prompts - perPrompt);
+    }
+    seconds = 0;
+    prompts = 0;
+}
+
+StreamDemand PromptPlacement::measureDemand(int streams, MonotonicTime now)
+{
+    auto elapsed = std::clamp(toSeconds(now - m_streamEnginesAdjustedAt), toSeconds(streamEngineInterval), 60.0);
+    m_streamReading.average(elapsed);
+    m_otherReading.average(elapsed);
+    StreamDemand demand;
+    demand.gapTarget = m_options.shortestGapTarget;
+    demand.tokensPerEvent = m_options.tokensPerEvent;
+    demand.readingPerSecond = m_streamReading.perSecond;
+    demand.meanReading = m_streamReading.perPrompt;
+    demand.otherReadingPerSecond = m_otherReading.perSecond;
+    demand.streams = streams;
+    std::vector<double> rates;
+    int others = 0;
+    for (const auto& [id, state] : m_pool.servers()) {
+        if (m_pool.isUsable(state) && !isStreamEngine(state)) {
+            ++others;
+            demand.otherUnreadSeconds += state.pendingWork * state.secondsPerPromptToken();
+        }
+        if (m_pool.isUsable(state)) {
+            ++demand.usableEngines;
+            demand.slotsPerEngine = std::max(demand.slotsPerEngine, state.usableSlots);
+        }
+        if (state.tokenRate() && *state.tokenRate() > 0) {
+            rates.push_back(*state.tokenRate());
+        }
+    }
+    demand.otherUnreadSeconds /= std::max(1, others);
+    if (!rates.empty()) {
+        std::ranges::sort(rates);
+        auto last = static_cast<double>(rates.size() - 1);
+        demand.tokenSeconds = 1 / rates[static_cast<std::size_t>(last * fastQuantile)];
+        demand.slowTokenSeconds
+            = std::min(1 / rates[static_cast<std::size_t>(last * slowQuantile)], mostSlowness * demand.tokenSeconds);
+    }
+    return demand;
+}
+
+int PromptPlacement::sizeStreamEngines(int streams, MonotonicTime now)
+{
+    return m_sizing.update(measureDemand(streams, now), static_cast<int>(m_streamEngines.size()), now);
+}
+
+void PromptPlacement::removeStreamEngines(int streams, int slots)
+{
+    for (const auto* engine : rankForRemoval()) {
         slots -= engine->usableSlots;
         if (m_streamEngines.size() == 1 || streams > maxStreamLoad * slots) {
             return;
@@ -316,7 +394,6 @@
     if (now < m_streamEnginesAdjustedAt + streamEngineInterval && !m_streamEngines.empty()) {
         return;
     }
-    m_streamEnginesAdjustedAt = now;
     std::erase_if(m_streamEngines, [&](const BackendServerId& id) {
         auto* state = m_pool.find(id);
         return !state || !m_pool.isUsable(*state);
@@ -331,10 +408,21 @@
             others.push_back(&state);
         }
     }
-    if (m_streamEngines.size() > 1 && streams < minStreamLoad * slots) {
+    bool bySize = StreamEngineSizing::appliesTo(m_options.shortestGapTarget, m_options.tokensPerEvent);
+    auto wanted = bySize ? sizeStreamEngines(streams, now) : 0;
+    m_streamEnginesAdjustedAt = now;
+    if (bySize && static_cast<int>(m_streamEngines.size()) > wanted) {
+        removeStreamEngines(wanted);
+        return;
+    }
+    if (!bySize && m_streamEngines.size() > 1 && streams < minStreamLoad * slots) {
         removeStreamEngines(streams, slots);
         return;
     }
+    auto needsMore = [&] {
+        return m_streamEngines.empty()
+            || (bySize ? static_cast<int>(m_streamEngines.size()) < wanted : streams > maxStreamLoad * slots);
+    };
     // Prefers servers that the platform does not evict, that already run many such streams, and that have few cached
     // prompt parts to lose.
     std::ranges::sort(others, {},
@@ -342,7 +430,7 @@
     auto next = others.begin();
     // Uses at most half of the engines.
     while (std::ranges::distance(next, others.end()) > static_cast<std::ptrdiff_t>(m_streamEngines.size()) + 1
-        && (m_streamEngines.empty() || streams > maxStreamLoad * slots)) {
+        && needsMore()) {
         slots += (*next)->usableSlots;
         m_streamEngines.insert((*next)->server.id);
         ++next;
--- a/src/dispatch/placement/PromptPlacement.h
+++ b/src/dispatch/placement/PromptPlacement.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "dispatch/placement/PartHomes.h"
+#include "dispatch/placement/StreamEngineSizing.h"
 #include "dispatch/placement/WaitingRequest.h"
 #include "dispatch/servers/ServerPool.h"
 
@@ -35,8 +36,8 @@
     void beginSchedulerRun(Duration meanSlotTime);
     // The engine for the request, or null when the request should wait for its best engine.
     ServerState* choose(const WaitingRequest&, bool excludedAll, MonotonicTime now);
-    // A request was granted to the server in this scheduler run.
-    void recordGrant(const ServerState&);
+    // A request was granted to the server in this scheduler run; it takes the given time to read its prompt.
+    void recordGrant(const ServerState&, Duration reading, bool gapSensitive, MonotonicTime now);
     static Tokens uncachedTokens(const ServerState&, const PlaceRequest&);
     // Predicted time for the engine to read the tokens beside its present requests when it has no other prompts.
     Duration readingTime(const ServerState&, Tokens uncached) const;
@@ -75,8 +76,14 @@
     Tokens stallFreeTokens(const ServerState&) const;
     bool isStreamEngine(const ServerState& state) const { return m_streamEngines.contains(state.server.id); }
     void adjustStreamEngines(MonotonicTime now);
+    // The number of stream engines that the streams' prompts call for.
+    int sizeStreamEngines(int streams, MonotonicTime now);
+    StreamDemand measureDemand(int streams, MonotonicTime now);
     // Removes stream engines until their slots suit the number of streams.
     void removeStreamEngines(int streams, int slots);
+    // Those with the fewest streams go first, as they are free for other work soonest.
+    void removeStreamEngines(int wanted);
+    std::vector<const ServerState*> rankForRemoval() const;
     static double loadOf(const ServerState&);
     void rankEngines(MonotonicTime now);
 
@@ -90,6 +97,18 @@
     bool m_isCrowded = false; // most slots are in use
     std::set<BackendServerId> m_streamEngines;
     MonotonicTime m_streamEnginesAdjustedAt {};
+    StreamEngineSizing m_sizing;
+    // Seconds of reading granted since the last adjustment, and its averages per second.
+    struct ReadingRate {
+        double seconds = 0;
+        int prompts = 0;
+        double perSecond = 0;
+        double perPrompt = 0;
+
+        void average(double elapsed);
+    };
+    ReadingRate m_streamReading;
+    ReadingRate m_otherReading;
 };
 
 } // namespace lagoonspoke
--- a/src/dispatch/placement/ServerSelector.h
+++ b/src/dispatch/placement/ServerSelector.h
@@ -18,7 +18,10 @@
 
     // Begins a scheduler run. The time is the mean one that a request occupies a slot.
     void beginSchedulerRun(Duration meanSlotTime) { m_promptPlacement.beginSchedulerRun(meanSlotTime); }
-    void recordGrant(const ServerState& state) { m_promptPlacement.recordGrant(state); }
+    void recordGrant(const ServerState& state, Duration reading, bool gapSensitive, MonotonicTime now)
+    {
+        m_promptPlacement.recordGrant(state, reading, gapSensitive, now);
+    }
     // The server to run the request, or null when no suitable server has a free slot.
     ServerState* choose(const WaitingRequest&, MonotonicTime now);
     // An idle server for a suspect request. Without one, isolates a server so that it becomes idle, and returns null.
--- a/src/dispatch/queue/GrantScheduler.cpp
+++ b/src/dispatch/queue/GrantScheduler.cpp
@@ -231,7 +231,8 @@
     granted.charged = waiting->cost;
     granted.promptWork = promptWork(m_state.selector.uncachedTokens(server, granted.place));
     granted.queuedPromptWork = server.pendingWork;
-    m_state.load.recordReading(fromSeconds(granted.promptWork * server.secondsPerPromptToken()), now);
+    auto reading = fromSeconds(granted.promptWork * server.secondsPerPromptToken());
+    m_state.load.recordReading(reading, now);
     m_state.times.recordPromptWork(granted.place.className, granted.place.tier, granted.promptWork);
     granted.inFlightAtGrant = server.inFlight;
     granted.guaranteed = guaranteed;
@@ -255,7 +256,7 @@
     server.limitReached = !server.isWithinLimits(now);
     --m_freeSlots;
     server.addAwaitingFirstByte(now, granted.promptWork);
-    m_state.selector.recordGrant(server);
+    m_state.selector.recordGrant(server, reading, granted.gapSensitive, now);
     auto tier = granted.place.tier;
     m_state.queueOf(tier).charge(granted.place.team, m_state.weightOf(granted.place.team), waiting->cost);
     m_state.shares.recordGranted(waiting->cost, now);
--- a/src/dispatch/queue/GrantTracker.cpp
+++ b/src/dispatch/queue/GrantTracker.cpp
@@ -70,7 +70,9 @@
         if (server) {
             server->recordFirstByte(
                 progress.timeToFirstByte, granted.promptWork + granted.queuedPromptWork, granted.inFlightAtGrant, now);
-            m_state.pool.recordSuccess(*server);
+            m_state.pool.recordSuccess(*server, now);
+            m_state.pool.recordPace(*server, progress.timeToFirstByte, granted.promptWork + granted.queuedPromptWork,
+                granted.inFlightAtGrant, granted.grantedAt, now);
             server->removeAwaitingFirstByte(granted.grantedAt, granted.promptWork);
             server->cache.finishReading(granted.place);
         }
@@ -143,7 +145,7 @@
         }
         recordPartsAnswered(granted, now);
         if (server) {
-            m_state.pool.recordSuccess(*server);
+            m_state.pool.recordSuccess(*server, now);
         }
         break;
     case FinishOutcome::ServerFailed:
--- a/src/dispatch/queue/PolicyDispatcher.cpp
+++ b/src/dispatch/queue/PolicyDispatcher.cpp
@@ -93,16 +93,21 @@
     m_tracker.expire(now);
     m_shedder.dropExpired(now);
     refuseWithoutServers(now);
-    if (now >= m_lastSchedulerRun + m_schedulerInterval || waitingCount() <= maxShortQueue) {
+    bool runs = now >= m_lastSchedulerRun + m_schedulerInterval || waitingCount() <= maxShortQueue;
+    if (runs) {
         m_lastSchedulerRun = now;
         m_scheduler.grantFreeSlots(now);
     }
     m_shedder.run(now);
-    if (m_state.options.usePreemption) {
+    // Looks at all servers for each tier that waits, as the scheduler does.
+    if (runs && m_state.options.usePreemption) {
         m_preemptor.preemptForHigherTiers(now);
     }
     publishFloor(now);
     recordLoad(now);
+    for (auto& change : m_state.pool.takePaceChanges()) {
+        m_state.actions.emplace_back(ServerPaceChanged { std::move(change.server), change.begun });
+    }
     return std::exchange(m_state.actions, {});
 }
 
@@ -147,6 +152,7 @@
         m_state.pool.setCacheCapacity(it->second.memoryPerServer);
         m_schedulerInterval = it->second.memoryPerServer.count > 0 ? schedulerInterval : Duration(0);
         m_state.options.shortestGapTarget = sensitiveGapTarget(configuration, it->second);
+        m_state.options.tokensPerEvent = it->second.tokensPerEvent;
     }
 }
 
@@ -269,7 +275,7 @@
 
 void PolicyDispatcher::replaceServers(const std::vector<BackendServer>& servers, MonotonicTime now)
 {
-    m_state.pool.replace(servers);
+    m_state.pool.replace(servers, now);
     m_state.pool.updateLimits(now);
     m_state.pool.updateRates(m_state.times.meanSlotSeconds());
     m_tracker.recountSlots();
@@ -367,6 +373,7 @@
         summary.evacuatedServers += state.server.evacuated ? 1 : 0;
         summary.ejectedServers += state.health.isEjected() ? 1 : 0;
         summary.limitedServers += state.limit.rate() ? 1 : 0;
+        summary.pacedServers += state.pace.isPaced() ? 1 : 0;
         summary.coldServers += state.isCold(m_lastAdvance) ? 1 : 0;
         summary.isolatedServers += state.isolated ? 1 : 0;
         summary.busySlots += state.inFlight;
--- a/src/dispatch/servers/ServerPool.cpp
+++ b/src/dispatch/servers/ServerPool.cpp
@@ -15,15 +15,25 @@
 // Assumed until an engine was measured: 40,000 prompt tokens per second, typical of common engines. With too low a
 // rate, a new dispatcher would hold back requests that it could place.
 constexpr double assumedSecondsPerPromptToken = 1.0 / 40000;
+// A server is late when it takes this multiple of the time that a healthy one takes. Times of single answers differ by
+// a factor of two on equal servers.
+constexpr double lateFactor = 2.5;
+// Part of its slots that a server gets at least while most servers are paced.
+constexpr double scarcePart = 0.25;
 
 } // namespace
 
-void ServerPool::replace(const std::vector<BackendServer>& descriptions)
+void ServerPool::replace(const std::vector<BackendServer>& descriptions, MonotonicTime now)
 {
+    // A new dispatcher cannot tell which servers have just started.
+    bool isFirst = m_servers.empty();
     std::map<BackendServerId, ServerState> servers;
     for (const auto& server : descriptions) {
         if (auto known = m_servers.extract(server.id)) {
-            known.mapped().server = server;
+            bool wasOpen = std::exchange(known.mapped().server, server).isOpen();
+            if (!wasOpen && server.isOpen()) {
+                beginPace(known.mapped(), PaceReason::Reopened, now);
+            }
             servers.insert(std::move(known));
         } else {
             auto& state = servers.emplace(server.id, ServerState(server)).first->second;
@@ -31,6 +41,9 @@
             if (m_cacheCapacity.count > 0) {
                 state.configureAsPromptEngine(meanSecondsPerPromptToken().value_or(assumedSecondsPerPromptToken));
             }
+            if (!isFirst) {
+                beginPace(state, PaceReason::Added, now);
+            }
         }
     }
     m_servers = std::move(servers);
@@ -81,14 +94,17 @@
         std::nth_element(rates.begin(), middle, rates.end());
         median = *middle;
     }
+    m_pacedServers
+        = static_cast<int>(std::ranges::count_if(m_servers, [](const auto& it) { return it.second.pace.isPaced(); }));
     for (auto& [id, state] : m_servers) {
         state.slow = false;
-        state.usableSlots = state.server.slots;
+        state.usableSlots = pacedSlots(state, state.server.slots);
         if (median > 0 && state.tokenRate() && m_options.useMeasuredRate) {
             double fraction = *state.tokenRate() / median;
             if (fraction < slowRateFraction) {
                 state.slow = true;
-                state.usableSlots = std::max(1, static_cast<int>(fraction * state.server.slots));
+                state.usableSlots
+                    = std::min(state.usableSlots, std::max(1, static_cast<int>(fraction * state.server.slots)));
             }
         }
         state.sustainedSlots = state.usableSlots;
@@ -124,14 +140,68 @@
     }
 }
 
-void ServerPool::recordSuccess(ServerState& state)
+void ServerPool::recordSuccess(ServerState& state, MonotonicTime now)
 {
+    if (state.health.isEjected()) {
+        beginPace(state, PaceReason::Recovered, now);
+    }
     state.health.recordSuccess();
 }
 
+void ServerPool::beginPace(ServerState& state, PaceReason reason, MonotonicTime now)
+{
+    if (!m_options.pacesRecoveringServers) {
+        return;
+    }
+    state.pace.begin(reason, now);
+    state.usableSlots = pacedSlots(state, state.server.slots);
+    m_paceChanges.push_back({ state.server.id, reason });
+}
+
+int ServerPool::pacedSlots(const ServerState& state, int slots) const
+{
+    auto paced = state.pace.usableSlots(slots);
+    bool isScarce = 2 * m_pacedServers > static_cast<int>(m_servers.size());
+    return isScarce ? std::max(paced, std::min(slots, std::max(1, static_cast<int>(scarcePart * slots)))) : paced;
+}
+
+void ServerPool::recordPace(
+    ServerState& state, Duration time, double work, int inFlightAtGrant, MonotonicTime grantedAt, MonotonicTime now)
+{
+    if (!state.pace.isPaced()) {
+        return;
+    }
+    // A plain server answers its requests side by side; an engine reads one prompt after the other.
+    auto sample = hasPromptEngines() ? state.sampleOf(time, work, inFlightAtGrant) : toSeconds(time);
+    auto typical = typicalSample();
+    bool inTime = !typical || sample <= lateFactor * *typical;
+    state.pace.recordAnswer(inTime, grantedAt, now);
+    if (state.pace.endIfReached(state.server.slots)) {
+        m_paceChanges.push_back({ state.server.id, {} });
+    }
+    state.usableSlots = pacedSlots(state, state.server.slots);
+}
+
+std::optional<double> ServerPool::typicalSample() const
+{
+    std::vector<double> seconds;
+    for (const auto& [id, state] : m_servers) {
+        if (state.isMeasured() && !state.pace.isPaced()) {
+            seconds.push_back(hasPromptEngines() ? state.secondsPerPromptToken() : state.firstByteSeconds());
+        }
+    }
+    if (seconds.empty()) {
+        return std::nullopt;
+    }
+    auto middle = seconds.begin() + static_cast<std::ptrdiff_t>(seconds.size() / 2);
+    std::ranges::nth_element(seconds, middle);
+    return *middle;
+}
+
 void ServerPool::recordFailure(ServerState& state, bool died, MonotonicTime now)
 {
     bool failing = state.health.recordFailure();
+    state.pace.recordAnswer(false, now, now);
     if (died || failing || state.health.isEjected()) {
         eject(state, now);
     }
--- a/src/dispatch/servers/ServerPool.h
+++ b/src/dispatch/servers/ServerPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "dispatch/DispatchOptions.h"
@@ -16,8 +17,15 @@
     {
     }
 
+    // A server began or ended its pace, for the log.
+    struct PaceChange {
+        BackendServerId server;
+        std::optional<PaceReason> begun; // empty when it ended
+    };
+    std::vector<PaceChange> takePaceChanges() { return std::exchange(m_paceChanges, {}); }
+
     // Replaces the list; servers that were in the previous one keep their state.
-    void replace(const std::vector<BackendServer>&);
+    void replace(const std::vector<BackendServer>&, MonotonicTime now);
     // Capacity of each server's prefix cache; zero when unknown.
     void setCacheCapacity(Tokens);
     ServerState* find(const BackendServerId&);
@@ -33,7 +41,11 @@
     void updateLimits(MonotonicTime now);
     // The part of the known instances that this dispatcher is connected to, 0 to 1; see ColdRateLimit.
     void setConnectedShare(double share) { m_connectedShare = share; }
-    void recordSuccess(ServerState&);
+    void recordSuccess(ServerState&, MonotonicTime now);
+    // The server answered a request that was granted at the given time: whether in the time that healthy servers take
+    // decides on its pace.
+    void recordPace(
+        ServerState&, Duration time, double work, int inFlightAtGrant, MonotonicTime grantedAt, MonotonicTime now);
     void recordFailure(ServerState&, bool died, MonotonicTime now);
 
     bool isUsable(const ServerState&) const;
@@ -60,12 +72,21 @@
     // others.
     void presumeRejectionLimits(MonotonicTime now);
     void eject(ServerState&, MonotonicTime now);
+    void beginPace(ServerState&, PaceReason, MonotonicTime now);
+    // Slots that the server's pace allows of the given ones. While fewer than half of the servers are at full pace,
+    // capacity goes first: then each gets a part of its slots at least.
+    int pacedSlots(const ServerState&, int slots) const;
     // Mean over the servers with measurements; empty when there are none.
     std::optional<double> meanSecondsPerPromptToken() const;
+    // The median of the measured servers at full pace: seconds for a prompt token of engines, to the first byte of
+    // plain servers. Empty when there are none.
+    std::optional<double> typicalSample() const;
 
     const DispatchOptions& m_options;
     Tokens m_cacheCapacity;
     double m_connectedShare = 1;
+    int m_pacedServers = 0; // at the last update of the rates
+    std::vector<PaceChange> m_paceChanges;
     std::uint64_t m_generation = 0;
     std::map<BackendServerId, ServerState> m_servers; // ordered, so that decisions do not depend on hash order
 };
--- a/src/dispatch/servers/ServerState.cpp
+++ b/src/dispatch/servers/ServerState.cpp
@@ -36,13 +36,19 @@
     }
 }
 
+double ServerState::sampleOf(Duration time, double work, int inFlightAtGrant) const
+{
+    return toSeconds(time) / (work * loadFactor(inFlightAtGrant, server.slots));
+}
+
 void ServerState::recordFirstByte(Duration time, double work, int inFlightAtGrant, MonotonicTime now)
 {
+    m_firstByteSeconds += (m_firstByteSeconds > 0 ? weightOfNewest : 1) * (toSeconds(time) - m_firstByteSeconds);
     if (m_isPromptEngine && work < minSampleTokens && m_measured) {
         m_newestObservation = now;
         return;
     }
-    double sample = toSeconds(time) / (work * loadFactor(inFlightAtGrant, server.slots));
+    double sample = sampleOf(time, work, inFlightAtGrant);
     m_secondsPerPromptToken
         += (m_isPromptEngine && !m_measured ? weightOfFirst : weightOfNewest) * (sample - m_secondsPerPromptToken);
     m_measured = true;
--- a/src/dispatch/servers/ServerState.h
+++ b/src/dispatch/servers/ServerState.h
@@ -10,6 +10,7 @@
 #include "dispatch/servers/RejectionGuard.h"
 #include "dispatch/servers/RequestLimiter.h"
 #include "dispatch/servers/ServerHealth.h"
+#include "dispatch/servers/ServerPace.h"
 #include "lagoonspoke/dispatch/BackendServer.h"
 
 namespace lagoonspoke {
@@ -25,6 +26,8 @@
     // Adds or removes a request that waits for its first byte, identified by the time of its grant.
     void addAwaitingFirstByte(MonotonicTime grantedAt, double promptWork);
     void removeAwaitingFirstByte(MonotonicTime grantedAt, double promptWork);
+    // Seconds for one prompt token that a request's first byte shows; the measure of recordFirstByte().
+    double sampleOf(Duration time, double work, int inFlightAtGrant) const;
     // A running request produced tokens during the given time.
     void recordTokens(std::int64_t tokens, Duration time, MonotonicTime now);
     // Corrects the token rate from a report that is newer than every observation of this dispatcher.
@@ -56,6 +59,8 @@
 
     // Seconds to the first byte for one uncached prompt token on an otherwise empty server.
     double secondsPerPromptToken() const { return m_secondsPerPromptToken; }
+    // Mean time to the first byte in seconds, whatever the work; 0 before the first observation.
+    double firstByteSeconds() const { return m_firstByteSeconds; }
     // Tokens per second of one request; empty before the first observation.
     std::optional<double> tokenRate() const { return m_tokenRate; }
     MonotonicTime newestObservation() const { return m_newestObservation; }
@@ -75,6 +80,7 @@
     bool isolated = false; // reserved for a suspect request, or running one
     bool runsSuspect = false;
     ServerHealth health;
+    ServerPace pace;
     RequestLimiter limit;
     ColdRateLimit coldLimit;
     RejectionGuard rejections;
@@ -94,6 +100,7 @@
     double m_secondsPerPromptToken;
     bool m_measured = false;
     bool m_isPromptEngine = false;
+    double m_firstByteSeconds = 0;
     std::optional<double> m_tokenRate;
     MonotonicTime m_newestObservation {};
     std::optional<MonotonicTime> m_declinedAt;
