--- a/src/dispatch/placement/PromptPlacement.cpp
+++ b/src/dispatch/placement/PromptPlacement.cpp
@@ -341,7 +341,6 @@
     m_otherReading.average(elapsed);
     StreamDemand demand;
     demand.gapTarget = m_options.shortestGapTarget;
-    demand.tokensPerEvent = m_options.tokensPerEvent;
     demand.readingPerSecond = m_streamReading.perSecond;
     demand.meanReading = m_streamReading.perPrompt;
     demand.otherReadingPerSecond = m_otherReading.perSecond;
@@ -363,11 +362,12 @@
     }
     demand.otherUnreadSeconds /= std::max(1, others);
     if (!rates.empty()) {
+        // Entries count the events of a stream.
         std::ranges::sort(rates);
         auto last = static_cast<double>(rates.size() - 1);
-        demand.tokenSeconds = 1 / rates[static_cast<std::size_t>(last * fastQuantile)];
-        demand.slowTokenSeconds
-            = std::min(1 / rates[static_cast<std::size_t>(last * slowQuantile)], mostSlowness * demand.tokenSeconds);
+        demand.eventSeconds = 1 / rates[static_cast<std::size_t>(last * fastQuantile)];
+        demand.slowEventSeconds
+            = std::min(1 / rates[static_cast<std::size_t>(last * slowQuantile)], mostSlowness * demand.eventSeconds);
     }
     return demand;
 }
--- a/src/dispatch/placement/StreamEngineSizing.cpp
+++ b/src/dispatch/placement/StreamEngineSizing.cpp
@@ -31,10 +31,10 @@
 // Part of the time that prompts of Poisson distributed arrivals may take: with mean + deviations * sqrt(mean) of them
 // in a gap target, they fit into it beside the tokens of one event.
 double StreamEngineSizing::shareFor(
-    const StreamDemand& demand, double tokenSeconds, double readingSeconds, double deviations)
+    const StreamDemand& demand, double eventSeconds, double readingSeconds, double deviations)
 {
     auto gap = toSeconds(demand.gapTarget);
-    auto fitting = std::max(0.0, gap - demand.tokensPerEvent * tokenSeconds) / readingSeconds;
+    auto fitting = std::max(0.0, gap - eventSeconds) / readingSeconds;
     auto root = (std::sqrt(deviations * deviations + 4 * fitting) - deviations) / 2;
     return root * root * demand.meanReading / gap;
 }
@@ -44,9 +44,9 @@
     if (demand.gapTarget <= Duration(0) || demand.meanReading <= 0) {
         return 1;
     }
-    auto slow = std::max(demand.slowTokenSeconds, demand.tokenSeconds);
-    auto slowness = demand.tokenSeconds > 0 ? slow / demand.tokenSeconds : 1;
-    auto share = std::min(shareFor(demand, demand.tokenSeconds, demand.meanReading, bunching),
+    auto slow = std::max(demand.slowEventSeconds, demand.eventSeconds);
+    auto slowness = demand.eventSeconds > 0 ? slow / demand.eventSeconds : 1;
+    auto share = std::min(shareFor(demand, demand.eventSeconds, demand.meanReading, bunching),
         shareFor(demand, slow, demand.meanReading * slowness, bunchingOfSlow));
     return std::clamp(share, leastReadingShare, 1.0);
 }
--- a/src/dispatch/placement/StreamEngineSizing.h
+++ b/src/dispatch/placement/StreamEngineSizing.h
@@ -7,7 +7,6 @@
 // What the number of stream engines depends on.
 struct StreamDemand {
     Duration gapTarget {}; // longest pause between two events of a stream that is on time
-    int tokensPerEvent = 1;
     double readingPerSecond = 0; // of the streams' prompts, in engine seconds per second
     double meanReading = 0; // of one such prompt, in seconds
     double otherReadingPerSecond = 0; // of all other prompts, in engine seconds per second
@@ -15,9 +14,9 @@
     int streams = 0; // in flight
     int slotsPerEngine = 1;
     int usableEngines = 0;
-    // Time of one token on an engine that reads no prompt, and on a slow one; 0 when unknown.
-    double tokenSeconds = 0;
-    double slowTokenSeconds = 0;
+    // Time from event to event on an engine that reads no prompt, and on a slow one; 0 when unknown.
+    double eventSeconds = 0;
+    double slowEventSeconds = 0;
 };
 
 // Decides how many engines run the streams with a short gap target, apart from long prompts. An engine's streams stand
@@ -45,7 +44,7 @@
 
 private:
     static int wantedEngines(const StreamDemand&, bool othersBehind);
-    static double shareFor(const StreamDemand&, double tokenSeconds, double readingSeconds, double deviations);
+    static double shareFor(const StreamDemand&, double eventSeconds, double readingSeconds, double deviations);
 
     // Whether the other engines are behind with their prompts, or were a moment ago.
     bool areOthersBehind(const StreamDemand&, MonotonicTime now);
--- a/src/dispatch/placement/StreamEngineSizingTest.cpp
+++ b/src/dispatch/placement/StreamEngineSizingTest.cpp
@@ -12,20 +12,20 @@
 
 constexpr double requestsPerSecond = 115;
 
-// 60 engines of 64 slots: 4.2 ms a token, 20 ms for the prompt of a stream, 2.5 times slower for a part of the time.
+// 60 engines of 64 slots: 21 ms from event to event, 20 ms for the prompt of a stream, 2.5 times slower for a part of
+// the time.
 StreamDemand makeDemand(double burst = 1)
 {
     StreamDemand demand;
     demand.gapTarget = 150ms;
-    demand.tokensPerEvent = 5;
     demand.meanReading = 0.02;
     demand.readingPerSecond = burst * requestsPerSecond * demand.meanReading;
     demand.otherReadingPerSecond = 6;
     demand.streams = static_cast<int>(burst * requestsPerSecond);
     demand.slotsPerEngine = 64;
     demand.usableEngines = 60;
-    demand.tokenSeconds = 0.0042;
-    demand.slowTokenSeconds = 0.0105;
+    demand.eventSeconds = 0.021;
+    demand.slowEventSeconds = 0.0525;
     return demand;
 }
 
@@ -40,7 +40,7 @@
     int late = 0;
     constexpr int intervals = 20000;
     for (int i = 0; i < intervals; ++i) {
-        auto busy = slowness * (prompts(random) * demand.meanReading + demand.tokensPerEvent * demand.tokenSeconds);
+        auto busy = slowness * (prompts(random) * demand.meanReading + demand.eventSeconds);
         late += busy > gap ? 1 : 0;
     }
     return static_cast<double>(late) / intervals;
