--- a/src/dispatch/placement/PromptPlacement.cpp
+++ b/src/dispatch/placement/PromptPlacement.cpp
@@ -345,6 +345,7 @@
     demand.meanReading = m_streamReading.perPrompt;
     demand.otherReadingPerSecond = m_otherReading.perSecond;
     demand.streams = streams;
+    demand.isCrowded = m_isCrowded;
     std::vector<double> rates;
     int others = 0;
     for (const auto& [id, state] : m_pool.servers()) {
--- a/src/dispatch/placement/StreamEngineSizing.cpp
+++ b/src/dispatch/placement/StreamEngineSizing.cpp
@@ -21,9 +21,10 @@
 // too, and have targets of their own.
 constexpr double otherHeadroom = 2;
 constexpr Duration shrinkDelay = std::chrono::seconds(10);
-// Unread prompts of this time at each of the other engines mean that their load is at its limit: a prompt that arrives
-// waits for others. It stays so for a while, as bursts come in waves.
-constexpr double behindSeconds = 0.1;
+// Unread prompts of this time at each of the other engines mean that their load is at its limit: it is above what an
+// engine gets of long prompts. It stays so for a while, as bursts come in waves. With 0.1 s the streams of a calm day
+// gave way too.
+constexpr double behindSeconds = 0.35;
 constexpr Duration behindDelay = std::chrono::seconds(5);
 
 } // namespace
@@ -64,7 +65,7 @@
 
 bool StreamEngineSizing::areOthersBehind(const StreamDemand& demand, MonotonicTime now)
 {
-    if (demand.otherUnreadSeconds > behindSeconds) {
+    if (demand.isCrowded || demand.otherUnreadSeconds > behindSeconds) {
         m_othersFreeAt = now + behindDelay;
     }
     return now < m_othersFreeAt;
--- a/src/dispatch/placement/StreamEngineSizing.h
+++ b/src/dispatch/placement/StreamEngineSizing.h
@@ -11,6 +11,7 @@
     double meanReading = 0; // of one such prompt, in seconds
     double otherReadingPerSecond = 0; // of all other prompts, in engine seconds per second
     double otherUnreadSeconds = 0; // of prompts that wait at another engine, on average
+    bool isCrowded = false; // most slots of all engines are in use
     int streams = 0; // in flight
     int slotsPerEngine = 1;
     int usableEngines = 0;
--- a/src/dispatch/placement/StreamEngineSizingTest.cpp
+++ b/src/dispatch/placement/StreamEngineSizingTest.cpp
@@ -85,7 +85,7 @@
     StreamEngineSizing sizing;
     auto demand = makeDemand();
     auto engines = sizing.update(demand, 1, MonotonicTime(100s));
-    demand.otherUnreadSeconds = 0.2;
+    demand.otherUnreadSeconds = 0.4;
     auto fewer = sizing.update(demand, engines, MonotonicTime(101s));
     CHECK(fewer == 3);
     demand.otherUnreadSeconds = 0;
