Tell of no servers before the first list of them

Cause: read on the diff: an evacuation that is learned before the list of servers passed an empty list on, by which the capacity planner would order a whole fleet. Change: evacuations are applied with the first list. Measured: daemonTests; no test of its own.

--- a/src/daemon/PeerServiceState.cpp
+++ b/src/daemon/PeerServiceState.cpp
@@ -146,7 +146,10 @@
         handle(RumourPublished { *evacuations.makeRumour() });
         handle(GossipUrgent {});
     }
-    tellServers();
+    // Before the first list, an empty one would be taken for a fleet without servers, and others would be ordered.
+    if (serversRead) {
+        tellServers();
+    }
 }
 
 void PeerService::State::logEvacuations(const Evacuations::Change& change, std::string_view origin) const
