Take the interval between resyncs back

Its gain was never measured either. Change: resyncs go out as before; the counter of resyncs in the log stays.

--- a/src/dispatch/routing/PlacementRouter.cpp
+++ b/src/dispatch/routing/PlacementRouter.cpp
@@ -318,7 +318,6 @@
             const auto* current = findMember(members, *owner);
             if (old && *owner != m_options.self && startOf(old->incarnation) != startOf(current->incarnation)) {
                 domain.ownerKnowsParts = false;
-                domain.lastResync.reset();
                 awaitAcknowledgements(id, domain, now);
                 scheduleResync(domain, now);
             }
@@ -353,7 +352,6 @@
     domain.owner = std::move(owner);
     domain.unresponsive = false;
     domain.ownerKnowsParts = false;
-    domain.lastResync.reset();
     domain.resyncDelay = {};
     awaitAcknowledgements(id, domain, now);
     scheduleResync(domain, now);
--- a/src/dispatch/routing/PlacementRouter.h
+++ b/src/dispatch/routing/PlacementRouter.h
@@ -88,10 +88,6 @@
         Duration grantExpiry = std::chrono::seconds(2);
         Duration initialResyncDelay = std::chrono::milliseconds(50);
         Duration maxResyncDelay = std::chrono::milliseconds(400);
-        // Between two resyncs to one owner; doubles while they follow each other at once. A dispatcher that is late
-        // loses links and answers in bursts, and a resync of every entry each time keeps it late: 4 to 6.5 MB a second.
-        Duration minResyncInterval = std::chrono::milliseconds(500);
-        Duration maxResyncInterval = std::chrono::seconds(4);
         Duration resyncRequestInterval = std::chrono::milliseconds(500); // to entries whose state is stale
     };
 
@@ -138,8 +134,6 @@
         std::optional<InstanceId> owner;
         bool unresponsive = false; // the owner did not respond in time
         std::optional<MonotonicTime> resyncAt;
-        std::optional<MonotonicTime> lastResync; // to the current owner
-        Duration resyncInterval {}; // until the next one
         Duration resyncDelay {};
         // For a domain that this instance owns:
         std::set<InstanceId> entries; // known to the dispatcher
@@ -167,8 +161,6 @@
     void scheduleResync(Domain&, MonotonicTime);
     void delayResync(Domain&, MonotonicTime now);
     void sendResync(const DomainId&, Domain&, MonotonicTime now);
-    // Whether a resync may be sent now; if not, it is scheduled for when it may.
-    bool takeResyncTurn(Domain&, MonotonicTime now);
     void markResponsive(const InstanceId& from, Domain&, MonotonicTime now);
 
     void sendToOwner(const DomainId&, EntryMessage);
--- a/src/dispatch/routing/PlacementRouterRequests.cpp
+++ b/src/dispatch/routing/PlacementRouterRequests.cpp
@@ -48,9 +48,6 @@
 void PlacementRouter::sendResync(const DomainId& id, Domain& domain, MonotonicTime now)
 {
     domain.resyncAt.reset();
-    if (!takeResyncTurn(domain, now)) {
-        return;
-    }
     Resync resync { m_options.self, id, {}, {}, {} };
     for (auto& [requestId, request] : m_requests) {
         if (request.place.domain != id) {
@@ -76,19 +73,6 @@
     sendToOwner(id, std::move(resync));
 }
 
-bool PlacementRouter::takeResyncTurn(Domain& domain, MonotonicTime now)
-{
-    if (domain.lastResync && now < *domain.lastResync + domain.resyncInterval) {
-        scheduleResync(domain, *domain.lastResync + domain.resyncInterval);
-        return false;
-    }
-    bool follows = domain.lastResync && now < *domain.lastResync + 2 * domain.resyncInterval;
-    domain.resyncInterval
-        = follows ? std::min(2 * domain.resyncInterval, m_options.maxResyncInterval) : m_options.minResyncInterval;
-    domain.lastResync = now;
-    return true;
-}
-
 void PlacementRouter::rememberParts(
     Domain& domain, const Request& request, const BackendServerId& server, MonotonicTime now)
 {
