Encode names in the targets of calls to the product's own interfaces

Seen in the test only, not reported by users.

Change: they build their targets with HttpTarget as well. decodePercent() moves beside it, and the stand-ins decode paths and parameters.

The fleet and weight clients have no test of such names.

--- a/src/entry/RequestAdmission.cpp
+++ b/src/entry/RequestAdmission.cpp
@@ -1,12 +1,12 @@
 #include "entry/RequestAdmission.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
 #include "entry/Prompt.h"
+#include "http/HttpTarget.h"
 #include "lagoonspoke/core/Digest.h"
 #include "settings/JsonReader.h"
 
@@ -83,26 +83,6 @@
     return true;
 }
 
-// The text with its percent-encoded bytes decoded; an incomplete encoding stays as it is.
-std::string decodePercent(std::string_view text)
-{
-    std::string decoded;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        unsigned value = 0;
-        if (text[i] == '%' && i + 2 < text.size()) {
-            auto digits = text.substr(i + 1, 2);
-            auto [end, ec] = std::from_chars(digits.data(), digits.data() + 2, value, 16);
-            if (ec == std::errc() && end == digits.data() + 2) {
-                decoded += static_cast<char>(value);
-                i += 2;
-                continue;
-            }
-        }
-        decoded += text[i];
-    }
-    return decoded;
-}
-
 } // namespace
 
 std::string_view findKey(const CallerHead& head)
--- a/src/external/FleetClient.cpp
+++ b/src/external/FleetClient.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
+#include "http/HttpTarget.h"
 #include "lagoonspoke/core/Overload.h"
 
 namespace lagoonspoke {
@@ -86,8 +87,9 @@
 asio::awaitable<Outcome<void>> FleetClient::sendToInterface(
     DataCentreId dataCentre, FleetOrder order, FencingToken token)
 {
-    auto target = fmt::format("/v1/data-centres/{}/orders", dataCentre.value());
-    co_return co_await send(m_interface, std::move(target), encode(order, token), token);
+    HttpTarget target;
+    target.addSegment("v1").addSegment("data-centres").addSegment(dataCentre.value()).addSegment("orders");
+    co_return co_await send(m_interface, target.text(), encode(order, token), token);
 }
 
 asio::awaitable<Outcome<void>> FleetClient::sendToEngine(tcp::endpoint engine, FleetOrder order, FencingToken token)
--- a/src/external/ObjectStoreClient.cpp
+++ b/src/external/ObjectStoreClient.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "http/HttpTarget.h"
 #include "lagoonspoke/core/Text.h"
 #include "settings/JsonReader.h"
 
@@ -11,7 +12,7 @@
 
 std::string objectTarget(std::string_view key)
 {
-    return fmt::format("/v1/objects/{}", key);
+    return HttpTarget().addSegment("v1").addSegment("objects").addPath(key).text();
 }
 
 std::string quoteVersion(std::uint64_t version)
@@ -132,7 +133,7 @@
 asio::awaitable<Outcome<std::vector<ObjectEntry>>> ObjectStoreClient::list(std::string prefix) const
 {
     HttpCall call;
-    call.target = fmt::format("/v1/objects?prefix={}", prefix);
+    call.target = HttpTarget().addSegment("v1").addSegment("objects").addParameter("prefix", prefix).text();
     auto reply = co_await callHttp(m_endpoint, std::move(call), m_bound);
     if (!reply) {
         co_return tl::make_unexpected(reply.error());
@@ -162,8 +163,13 @@
     std::string key, std::uint64_t after, Duration wait) const
 {
     HttpCall call;
-    call.target = fmt::format(
-        "/v1/watch?key={}&after={}&timeout_ms={}", key, after, static_cast<std::int64_t>(toMilliseconds(wait)));
+    call.target = HttpTarget()
+                      .addSegment("v1")
+                      .addSegment("watch")
+                      .addParameter("key", key)
+                      .addParameter("after", fmt::format("{}", after))
+                      .addParameter("timeout_ms", fmt::format("{}", static_cast<std::int64_t>(toMilliseconds(wait))))
+                      .text();
     auto reply = co_await callHttp(m_endpoint, std::move(call), wait + m_bound);
     if (!reply) {
         co_return tl::make_unexpected(reply.error());
--- a/src/external/WeightStoreClient.cpp
+++ b/src/external/WeightStoreClient.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include "http/HttpTarget.h"
+
 namespace lagoonspoke {
 
 WeightStoreClient::WeightStoreClient(tcp::endpoint endpoint, Duration bound)
@@ -13,7 +15,8 @@
 asio::awaitable<Outcome<std::size_t>> WeightStoreClient::fetch(TargetName model, std::string version) const
 {
     HttpCall call;
-    call.target = fmt::format("/v1/weights/{}/{}", model.value(), version);
+    call.target
+        = HttpTarget().addSegment("v1").addSegment("weights").addSegment(model.value()).addSegment(version).text();
     auto reply = co_await callHttp(m_endpoint, std::move(call), m_bound);
     if (!reply) {
         co_return tl::make_unexpected(reply.error());
--- a/src/http/HttpTarget.cpp
+++ b/src/http/HttpTarget.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpTarget.h"
 
+#include <charconv>
 #include <iterator>
 #include <utility>
 
@@ -49,4 +50,23 @@
     }
 }
 
+std::string decodePercent(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        unsigned value = 0;
+        if (text[i] == '%' && i + 2 < text.size()) {
+            auto digits = text.substr(i + 1, 2);
+            auto [end, ec] = std::from_chars(digits.data(), digits.data() + 2, value, 16);
+            if (ec == std::errc() && end == digits.data() + 2) {
+                decoded += static_cast<char>(value);
+                i += 2;
+                continue;
+            }
+        }
+        decoded += text[i];
+    }
+    return decoded;
+}
+
 } // namespace lagoonspoke
--- a/src/http/HttpTarget.h
+++ b/src/http/HttpTarget.h
@@ -24,4 +24,7 @@
     bool m_hasQuery = false;
 };
 
+// The text with its percent-encoded bytes decoded; an incomplete encoding stays as it is.
+std::string decodePercent(std::string_view);
+
 } // namespace lagoonspoke
--- a/standins/Query.cpp
+++ b/standins/Query.cpp
@@ -1,10 +1,12 @@
 #include "standins/Query.h"
 
+#include "http/HttpTarget.h"
+
 namespace lagoonspoke {
 
-std::string_view targetPath(std::string_view target)
+std::string targetPath(std::string_view target)
 {
-    return target.substr(0, target.find('?'));
+    return decodePercent(target.substr(0, target.find('?')));
 }
 
 std::string queryParameter(std::string_view target, std::string_view name)
@@ -14,7 +16,7 @@
         auto end = target.find('&', position + 1);
         auto parameter = target.substr(position + 1, end == std::string_view::npos ? end : end - position - 1);
         if (parameter.size() > name.size() && parameter.starts_with(name) && parameter[name.size()] == '=') {
-            return std::string(parameter.substr(name.size() + 1));
+            return decodePercent(parameter.substr(name.size() + 1));
         }
         position = end;
     }
--- a/standins/Query.h
+++ b/standins/Query.h
@@ -5,10 +5,10 @@
 
 namespace lagoonspoke {
 
-// The path of a request target without its query.
-std::string_view targetPath(std::string_view target);
+// The path of a request target without its query, with its percent-encoded bytes decoded.
+std::string targetPath(std::string_view target);
 
-// The value of one query parameter, or an empty string. Values are not percent-decoded.
+// The value of one query parameter, or an empty string. Its percent-encoded bytes are decoded.
 std::string queryParameter(std::string_view target, std::string_view name);
 
 } // namespace lagoonspoke
