--- a/src/daemon/DocumentCopy.cpp
+++ b/src/daemon/DocumentCopy.cpp
@@ -86,6 +86,9 @@
         co_return 0;
     }
     auto it = std::ranges::find(list->items, name, &CollectionItem::name);
+    if (it == list->items.end() && !list->isComplete) {
+        co_return makeError(ErrorCode::ProtocolViolation, "the list of documents is incomplete");
+    }
     co_return it == list->items.end() ? 0 : callbacks.numberOf(it->value);
 }
 
--- a/src/external/CollectionFollower.cpp
+++ b/src/external/CollectionFollower.cpp
@@ -74,6 +74,7 @@
 {
     noteAnswer(now);
     m_startsTurns = true;
+    m_listAgainAt = listed.list.isComplete ? std::nullopt : std::optional(now + m_options.incompleteListRetry);
     replaceItems(std::move(listed.list), {}, now);
     watch(Duration(0), now);
 }
@@ -128,7 +129,7 @@
     }
     std::vector<std::string> missing;
     for (const auto& [name, value] : m_items) {
-        if (!names.contains(name)) {
+        if (list.isComplete && !names.contains(name)) {
             missing.push_back(name);
         }
     }
@@ -154,6 +155,10 @@
     auto pause = m_startsTurns ? m_options.watchPause : Duration(0);
     apply(std::move(watched.changes.changes), now);
     m_revision = watched.changes.revision;
+    if (m_watches && m_listAgainAt && *m_listAgainAt <= now) {
+        m_actions.emplace_back(ListCollection {});
+        return;
+    }
     watch(pause, now);
 }
 
--- a/src/external/CollectionFollower.h
+++ b/src/external/CollectionFollower.h
@@ -76,6 +76,8 @@
         Duration watchPause {};
         // Items that the store lost while it was away are back within this time of its return, if their writers live.
         Duration returnGrace = std::chrono::milliseconds(2300);
+        // After an incomplete list. A watch that waits ends first.
+        Duration incompleteListRetry = std::chrono::seconds(5);
     };
 
     explicit CollectionFollower(Options);
@@ -139,6 +141,7 @@
     std::optional<MonotonicTime> m_returnedAt; // of the store, after it was away or restored from a copy
     std::optional<MonotonicTime> m_retryAt;
     std::optional<MonotonicTime> m_watchAt; // the end of a pause
+    std::optional<MonotonicTime> m_listAgainAt; // as the last list was incomplete
     Duration m_retryDelay {};
 };
 
--- a/src/external/CollectionFollowerTest.cpp
+++ b/src/external/CollectionFollowerTest.cpp
@@ -232,4 +232,29 @@
     CHECK(std::get<WatchCollection>(kit.actions.front()).wait == 20s);
 }
 
+// Guards against servers that are taken for gone because a page of the list cannot be had.
+TEST_CASE("An incomplete list removes nothing and is read again")
+{
+    Kit kit;
+    kit.send(CollectionListed { { { { "a", "1" }, { "b", "1" } }, 7 } });
+    kit.send(CollectionHistoryLost {});
+    REQUIRE(kit.did<ListCollection>());
+    kit.send(CollectionListed { { { { "a", "2" }, { "c", "1" } }, 9, false } });
+    CHECK(kit.names() == Names { "a", "b", "c" });
+    CHECK(kit.did<WatchCollection>());
+    kit.advance(1s);
+    kit.send(CollectionWatched { { { Kit::removal("a") }, 10 } });
+    CHECK(kit.names() == Names { "b", "c" });
+    CHECK(kit.did<WatchCollection>());
+    kit.advance(5s);
+    kit.send(CollectionWatched { { {}, 10 } });
+    CHECK(kit.did<ListCollection>());
+    CHECK_FALSE(kit.did<WatchCollection>());
+    kit.send(CollectionListed { { { { "c", "1" } }, 12 } });
+    CHECK(kit.names() == Names { "c" });
+    kit.advance(10s);
+    kit.send(CollectionWatched { { {}, 12 } });
+    CHECK(kit.did<WatchCollection>());
+}
+
 } // namespace lagoonspoke
--- a/src/external/ObjectCollection.h
+++ b/src/external/ObjectCollection.h
@@ -20,6 +20,8 @@
 struct CollectionList {
     std::vector<CollectionItem> items;
     std::uint64_t revision = 0; // to watch from; see StoreRevision.h
+    // Otherwise the collection may have more items, on pages that the store cannot be asked for.
+    bool isComplete = true;
 };
 
 struct CollectionChange {
