Keep names of the store out of the header fields of requests

Workers got header fields that nobody sent, among them those that only the product may set: an entry whose name has a line break, and whose fields are those of a usable worker, was used, and what stands behind the break began a field of its own behind Expect-Instance.

Both dialects append fields with appendHeaderField(), which leaves no control character in a value, so that no other text (a tenant, an id) can do the same.

--- a/src/entry/RequestAdmission.cpp
+++ b/src/entry/RequestAdmission.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "entry/Prompt.h"
+#include "http/HeaderField.h"
 #include "http/HttpTarget.h"
 #include "lagoonspoke/core/Digest.h"
 #include "settings/JsonReader.h"
@@ -273,17 +274,19 @@
 
 std::string formatBackendHead(const AdmittedRequest& request, const BackendHead& head)
 {
-    auto text = fmt::format("{} {} HTTP/1.1\r\nhost: {}\r\nx-request-id: {}\r\nx-priority: {}\r\n", request.method,
-        request.target, head.host, head.requestId, head.tier.level);
+    auto text = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
+    appendHeaderField(text, "host", head.host);
+    appendHeaderField(text, "x-request-id", head.requestId);
+    appendHeaderField(text, "x-priority", fmt::format("{}", head.tier.level));
     if (head.resumeAfter.count > 0) {
-        text += fmt::format("x-resume-after: {}\r\n", head.resumeAfter.count);
+        appendHeaderField(text, "x-resume-after", fmt::format("{}", head.resumeAfter.count));
     }
     for (const auto& [name, value] : request.forwarded) {
-        text += fmt::format("{}: {}\r\n", name, value);
+        appendHeaderField(text, name, value);
     }
     bool bodyless = request.method == "GET" || request.method == "HEAD";
     if (head.bodyBytes > 0 || !bodyless) {
-        text += fmt::format("content-length: {}\r\n", head.bodyBytes);
+        appendHeaderField(text, "content-length", fmt::format("{}", head.bodyBytes));
     }
     return text += "\r\n";
 }
