Do not tell peers of entries that name no server

A reader told its listeners of every entry of the list of servers, whatever it held. One foreign entry of about 1 MB, which the store allows, made each such message larger than a frame, so that it was dropped: listeners got neither the list nor its changes as long as the entry stood.

Change: a reader leaves out the entries that name no server. For listeners that is as if they had read the entry and found no server in it; one that names a server later is told as new.

--- a/src/external/CollectionDirectory.cpp
+++ b/src/external/CollectionDirectory.cpp
@@ -88,10 +88,11 @@
         MonotonicTime seenAt;
     };
     std::map<std::string, SeenEntry> seen; // of the backend servers listed
+    std::set<std::string> unusable; // entries that name no server
     bool registered = false;
     bool stopped = false;
 
-    void applyServers(const CollectionFollower&, const DecodeServer&);
+    std::vector<BackendServer> decodeServers(const CollectionFollower&, const DecodeServer&);
     void applyInstances(const CollectionList&) const;
     static asio::awaitable<void> listInstances(std::shared_ptr<State>);
     static asio::awaitable<void> registerSelf(std::shared_ptr<State>);
@@ -120,8 +121,9 @@
     m_state = std::make_shared<State>(io, m_options, m_instances, m_store, std::move(sink));
     CollectionWatcher::Callbacks callbacks;
     callbacks.updated = [this](const auto& items) {
+        auto servers = m_state->decodeServers(m_watcher->follower(), m_decode);
         noteItems(items);
-        m_state->applyServers(m_watcher->follower(), m_decode);
+        m_state->sink.servers(std::move(servers));
     };
     auto follower = m_options.follower;
     follower.watchPause = m_options.watchPause;
@@ -197,6 +199,11 @@
     return m_lastChange;
 }
 
+bool CollectionDirectory::isShared(const std::string& name) const
+{
+    return !m_state->unusable.contains(name);
+}
+
 bool CollectionDirectory::isKept(const std::string& name) const
 {
     return m_watcher->follower().kept().contains(name);
@@ -225,6 +232,9 @@
     std::map<std::string, std::string> listed;
     std::set<std::string> kept;
     for (const auto& [name, value] : items) {
+        if (!isShared(name)) {
+            continue;
+        }
         if (isKept(name)) {
             kept.insert(name);
             continue;
@@ -259,6 +269,9 @@
     }
     boost::json::array items;
     for (const auto& [name, value] : m_watcher->follower().items()) {
+        if (!isShared(name)) {
+            continue;
+        }
         auto item = isKept(name) ? describeRemoval(name) : boost::json::object { { "name", name } };
         item["value"] = value;
         items.push_back(std::move(item));
@@ -322,12 +335,14 @@
     return {};
 }
 
-void CollectionDirectory::State::applyServers(const CollectionFollower& follower, const DecodeServer& decode)
+std::vector<BackendServer> CollectionDirectory::State::decodeServers(
+    const CollectionFollower& follower, const DecodeServer& decode)
 {
     const auto& items = follower.items();
     std::vector<BackendServer> servers;
     auto now = readMonotonicClock();
     std::erase_if(seen, [&](const auto& it) { return !items.contains(it.first); });
+    unusable.clear();
     for (const auto& [name, value] : items) {
         auto& entry = seen[name];
         if (entry.value != value) {
@@ -340,13 +355,16 @@
                     .add("entry", name)
                     .add("error", server.error().message);
             }
-        } else if (*server) {
-            servers.push_back(std::move(**server));
-            servers.back().lapsed = follower.kept().contains(name);
         }
+        if (!server || !*server) {
+            unusable.insert(name);
+            continue;
+        }
+        servers.push_back(std::move(**server));
+        servers.back().lapsed = follower.kept().contains(name);
     }
     std::erase_if(unreadable, [&](const std::string& name) { return !items.contains(name); });
-    sink.servers(std::move(servers));
+    return servers;
 }
 
 void CollectionDirectory::State::applyInstances(const CollectionList& list) const
--- a/src/external/CollectionDirectory.h
+++ b/src/external/CollectionDirectory.h
@@ -54,6 +54,9 @@
     // How long peers keep an item that the store no longer has, if they know it.
     Duration keptFor(const std::string& name) const;
     bool isKept(const std::string& name) const;
+    // Whether peers are told of the item. One that names no server is of no use to them, and may be larger than a
+    // message.
+    bool isShared(const std::string& name) const;
     // For a peer: that the store no longer has the item, and how long it is kept, if it is.
     boost::json::object describeRemoval(const std::string& name) const;
 
--- a/src/external/CollectionDirectoryTest.cpp
+++ b/src/external/CollectionDirectoryTest.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "wire/FrameDecoder.h"
+
 namespace lagoonspoke {
 
 using namespace std::chrono_literals;
@@ -91,8 +93,12 @@
         options.follower.returnGrace = 1500ms;
         return options;
     }
-    static Outcome<std::optional<BackendServer>> decode(const std::string& name, const std::string&, MonotonicTime)
+    static Outcome<std::optional<BackendServer>> decode(
+        const std::string& name, const std::string& value, MonotonicTime)
     {
+        if (value.starts_with("odd")) {
+            return makeError(ErrorCode::ProtocolViolation, "odd");
+        }
         BackendServer server;
         server.id = BackendServerId(name);
         return std::optional(std::move(server));
@@ -261,4 +267,30 @@
     CHECK(starting.names(true) == Names { "gone" });
 }
 
+// Guards against listeners that get no list any more, because one foreign entry makes it larger than a message.
+TEST_CASE("peers are not told of entries that name no server")
+{
+    Kit kit;
+    const Names all { "new", "odd", "stays", "third" };
+    kit.store.items.emplace("odd", "1");
+    ++kit.store.revision;
+    kit.until([&] { return kit.reader.names() == all; });
+    kit.tell(kit.uninformed);
+    REQUIRE(kit.uninformed.names() == all);
+    kit.store.items["odd"] = "odd" + std::string(maxFrameBytes, 'x');
+    ++kit.store.revision;
+    const Names usable { "new", "stays", "third" };
+    kit.until([&] { return kit.reader.names() == usable; });
+    CHECK(kit.reader.directory.shareServers().size() < maxFrameBytes);
+    CHECK(kit.reader.directory.shareLastChange().size() < maxFrameBytes);
+    CHECK(kit.uninformed.directory.hearServers(kit.reader.directory.shareLastChange()));
+    CHECK(kit.uninformed.names() == usable);
+    // It names a server again.
+    kit.store.items["odd"] = "2";
+    ++kit.store.revision;
+    kit.until([&] { return kit.reader.names() == all; });
+    CHECK(kit.uninformed.directory.hearServers(kit.reader.directory.shareLastChange()));
+    CHECK(kit.uninformed.names() == all);
+}
+
 } // namespace lagoonspoke
