Do not call an incomplete list of the store current

A reader that started with an incomplete list told its listeners that it was as the store had it, and they dropped what the reader lacked.

--- a/src/external/CollectionFollower.h
+++ b/src/external/CollectionFollower.h
@@ -96,7 +96,7 @@
     bool isKnown() const { return m_known; }
     bool isReachable() const { return m_reachable; }
     // Whether the items are as the store has them, by its own word.
-    bool isCurrent() const { return m_watches && m_reachable && m_known; }
+    bool isCurrent() const { return m_watches && m_reachable && m_known && !m_listAgainAt; }
     // The revision at which the items changed last, for peers to tell whether they know them.
     std::uint64_t itemsRevision() const { return m_itemsRevision; }
     std::uint64_t revision() const { return m_revision; }
--- a/src/external/CollectionFollowerTest.cpp
+++ b/src/external/CollectionFollowerTest.cpp
@@ -242,6 +242,7 @@
     kit.send(CollectionListed { { { { "a", "2" }, { "c", "1" } }, 9, false } });
     CHECK(kit.names() == Names { "a", "b", "c" });
     CHECK(kit.did<WatchCollection>());
+    CHECK_FALSE(kit.follower.isCurrent()); // peers that have more must not go by it
     kit.advance(1s);
     kit.send(CollectionWatched { { { Kit::removal("a") }, 10 } });
     CHECK(kit.names() == Names { "b", "c" });
@@ -252,6 +253,7 @@
     CHECK_FALSE(kit.did<WatchCollection>());
     kit.send(CollectionListed { { { { "c", "1" } }, 12 } });
     CHECK(kit.names() == Names { "c" });
+    CHECK(kit.follower.isCurrent());
     kit.advance(10s);
     kit.send(CollectionWatched { { {}, 12 } });
     CHECK(kit.did<WatchCollection>());
