Drop trailers as they are parsed

Callers that sent a chunked body with thousands of trailer fields of a few bytes made the process hold some twenty times their bytes for as long as the request ran: the parser keeps each field, and nothing reads them. RequestParser drops them.

Trailers could also follow fields of the same name in the head, for code that read the head after the body; there was none.

--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -33,6 +33,17 @@
     HeldInput::Share held; // of the present request
 };
 
+// Reads a request. Trailers are dropped as they arrive: they are not passed on, and may outweigh the body.
+class RequestParser : public http::request_parser<http::string_body> {
+private:
+    void on_field_impl(http::field name, beast::string_view nameText, beast::string_view value, error_code&) override
+    {
+        if (!is_header_done()) {
+            get().insert(name, nameText, value);
+        }
+    }
+};
+
 // One request of a connection and the response to it. Owned by HttpServer's session for the time of its handler.
 // Every operation is bounded by the limits; after an error the connection closes when the handler returns.
 class HttpExchange {
@@ -49,7 +60,7 @@
         // Whether a connection without a request in time gets an error before it closes.
         bool answersIdleTimeout = true;
     };
-    using Parser = http::request_parser<http::string_body>;
+    using Parser = RequestParser;
 
     // The reference to serverClosing is read when a response starts: it then says "Connection: close".
     HttpExchange(HttpConnection&, Parser&, const Limits&, const bool& serverClosing);
