Bound the parts of prompts that placement remembers

A prompt may name thousands of parts in 16 KiB, without tokens. The model of an engine's cache evicts by tokens alone, so such parts stayed for good: 720 prompts of some 1,700 parts took a process to 145 MB, and what was remembered for resyncs could exceed a message.

--- a/src/dispatch/servers/PrefixCache.cpp
+++ b/src/dispatch/servers/PrefixCache.cpp
@@ -4,6 +4,13 @@
 
 namespace lagoonspoke {
 
+namespace {
+
+// Parts may have no tokens, so the engine's capacity alone does not bound their number.
+constexpr std::size_t maxCachedParts = 8192;
+
+} // namespace
+
 Tokens PrefixCache::cachedTokens(const PlaceRequest& place) const
 {
     Tokens sum;
@@ -59,7 +66,8 @@
 
 void PrefixCache::evictLeastRecentlyUsed()
 {
-    while (m_capacity.count > 0 && m_size > m_capacity && !m_order.empty()) {
+    auto isFull = [this] { return m_order.size() > maxCachedParts || (m_capacity.count > 0 && m_size > m_capacity); };
+    while (!m_order.empty() && isFull()) {
         const auto& oldest = m_order.front();
         m_size -= oldest.tokens;
         m_parts.erase(oldest.block);
--- a/src/dispatch/servers/PrefixCache.h
+++ b/src/dispatch/servers/PrefixCache.h
@@ -27,6 +27,7 @@
     void clear();
 
     Tokens size() const { return m_size; }
+    std::size_t partCount() const { return m_parts.size(); }
 
 private:
     struct Part {
--- a/src/dispatch/servers/PrefixCacheTest.cpp
+++ b/src/dispatch/servers/PrefixCacheTest.cpp
@@ -61,4 +61,17 @@
     CHECK(cache.cachedTokens(makePrompt({ { 1, 400 } })).count == 0);
 }
 
+// Guards against a model that remembers parts without end, as parts without tokens fill no memory of the engine.
+TEST_CASE("Parts without tokens are evicted as well")
+{
+    PrefixCache cache;
+    cache.setCapacity({ 1000 });
+    for (int i = 0; i < 20'000; ++i) {
+        cache.startReading(makePrompt({ { i, 0 } }), MonotonicTime(1s));
+    }
+    cache.startReading(makePrompt({ { 20'000, 400 } }), MonotonicTime(1s));
+    CHECK(cache.partCount() <= 8192);
+    CHECK(cache.cachedTokens(makePrompt({ { 20'000, 400 } })).count == 400);
+}
+
 } // namespace lagoonspoke
