Bound connections to the peers' address that send no greeting

Each such connection was kept for 3 s whatever their number, with a first frame of up to 1 MiB: 256 of them took more than 160 descriptors and 87 MB. UnknownLinks closes the oldest for a new one, at an eighth of the process's descriptors, and a first frame has 16 KiB at most. New ones are not refused, as peers greet at once.

--- a/src/daemon/PeerServiceState.cpp
+++ b/src/daemon/PeerServiceState.cpp
@@ -16,12 +16,25 @@
 using namespace std::chrono_literals;
 
 constexpr Duration acceptRetry = 100ms; // when the process has no descriptor left
+// A greeting or the address of a tunnel.
+constexpr std::size_t maxFirstFrameBytes = 16 * 1024;
+// Connections that have not sent their first frame, where the number of descriptors is not limited.
+constexpr std::size_t maxUnknownLinks = 1024;
+// Their part of a limited number of descriptors.
+constexpr std::size_t unknownLinksPart = 8;
 // Where a list of evacuations came from, for the log. Only what the store said is passed on by this instance: what
 // peers said is passed on by the gossip itself.
 constexpr std::string_view storeOrigin = "store";
 // Both links and tunnels send at once.
 constexpr Duration firstFrameBound = 3s;
 
+std::size_t mostUnknownLinks(const DaemonSettings& settings)
+{
+    auto descriptors = static_cast<std::size_t>(settings.maxDescriptors);
+    return descriptors == 0 ? maxUnknownLinks
+                            : std::clamp<std::size_t>(descriptors / unknownLinksPart, 1, maxUnknownLinks);
+}
+
 Membership::Options makeMembershipOptions(const DaemonSettings& settings, const std::string& address)
 {
     Membership::Options options;
@@ -295,13 +308,17 @@
 {
     // Shared, as the timer may outlive this coroutine's frame by one turn of the loop.
     auto socket = std::make_shared<tcp::socket>(std::move(accepted));
+    UnknownLinks::Entry entry(unknownLinks, socket);
+    if (unknownLinks.closeOldestAbove(mostUnknownLinks(settings))) {
+        LogLine(LogLevel::Warning, "unknown_peers_limit_reached").add("connections", unknownLinks.size());
+    }
     asio::steady_timer bound(io, firstFrameBound);
     bound.async_wait([socket](error_code ec) {
         if (!ec) {
             socket->close(ec);
         }
     });
-    FrameDecoder decoder;
+    FrameDecoder decoder(maxFirstFrameBytes);
     std::string received;
     Outcome<std::optional<Frame>> first = std::optional<Frame>();
     while (first && !*first) {
--- a/src/daemon/PeerServiceState.h
+++ b/src/daemon/PeerServiceState.h
@@ -11,6 +11,7 @@
 #include "daemon/ServerDirectory.h"
 #include "daemon/ServerListExchange.h"
 #include "daemon/TunnelServer.h"
+#include "daemon/UnknownLinks.h"
 #include "membership/Membership.h"
 
 namespace lagoonspoke {
@@ -63,6 +64,7 @@
     std::optional<ServerListExchange> exchange; // none without a source, or before the start
     asio::steady_timer timer;
     std::map<InstanceId, std::shared_ptr<PeerLink>> links;
+    UnknownLinks unknownLinks; // accepted
     std::set<std::shared_ptr<PeerSession>> sessions; // accepted
     TunnelServer tunnels;
     std::map<PeerChannel, Receiver> receivers;
--- a/src/wire/FrameDecoder.cpp
+++ b/src/wire/FrameDecoder.cpp
@@ -89,7 +89,7 @@
         return std::optional<Frame>();
     }
     auto n = decodeLength(rest);
-    if (n > maxFrameBytes) {
+    if (n > m_mostBytes) {
         return makeError(ErrorCode::TooLarge, fmt::format("a frame announces {} bytes", n));
     }
     if (rest.size() < lengthBytes + n) {
--- a/src/wire/FrameDecoder.h
+++ b/src/wire/FrameDecoder.h
@@ -47,6 +47,12 @@
 // Splits the byte stream of one link into frames. Owned by the link's reader.
 class FrameDecoder {
 public:
+    // Frames above the limit, in bytes, end the stream as TooLarge.
+    explicit FrameDecoder(std::size_t mostBytes = maxFrameBytes)
+        : m_mostBytes(mostBytes)
+    {
+    }
+
     // Takes bytes in any portions.
     void append(std::string_view bytes) { m_buffer.append(bytes); }
     // The next whole frame, or nothing until more bytes arrive. After an error (TooLarge, ProtocolViolation) the
@@ -56,6 +62,7 @@
     bool empty() const { return m_position == m_buffer.size(); }
 
 private:
+    std::size_t m_mostBytes;
     std::string m_buffer;
     std::size_t m_position = 0; // start of the first frame not yet taken
 };
