Bound the connections to the admin address

It allowed 4,096 connections besides those of callers, more than the process has descriptors: 256 of them took more than 160. Now 64, where the one that has been idle for longest makes room.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -25,6 +25,8 @@
 
 namespace {
 
+constexpr std::size_t maxAdminConnections = 64;
+
 prometheus::Gauge& makeGauge(prometheus::Registry& registry, const std::string& name, const std::string& help)
 {
     return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
@@ -89,7 +91,10 @@
     if (!admin) {
         return tl::make_unexpected(admin.error());
     }
-    auto server = HttpServer::Make(m_io, *admin, {}, [this](HttpExchange& exchange) { return handleAdmin(exchange); });
+    HttpServer::Options options;
+    options.maxConnections = maxAdminConnections;
+    auto server = HttpServer::Make(
+        m_io, *admin, std::move(options), [this](HttpExchange& exchange) { return handleAdmin(exchange); });
     if (!server) {
         return tl::make_unexpected(server.error());
     }
