Count all that callers' requests hold, and let stalled and late ones give way

Callers whose bodies stop short of their end kept what may be held until they timed out, and every larger upload was refused with 503 meanwhile. On every connection, they kept all other callers out. Beside that, only the bytes of bodies and unread input counted: not the capacity of buffers, the fields with their copies, nor heads that were still arriving, so many connections took more than the limit. When the limit was reached, whichever request read next was refused; of bodies that arrived together hardly one completed.

Reads return after each step, so that HeldInput sees the buffer from the first byte of a head on, whatever the parser waits for. At the limit, requests without 1 KiB of progress in body_stall_ms (1 s) end first, then those that became large last. At max_connections a stalled request makes room when no connection is idle. Reads of large bodies grow to 16 KiB, from 512 bytes.

Answers to callers whose request was not read move to Rejection.h, as HttpServer.cpp grew.

--- a/src/daemon/TrafficThread.cpp
+++ b/src/daemon/TrafficThread.cpp
@@ -41,7 +41,7 @@
     HttpServer::Options options;
     options.limits = makeLimits(settings);
     options.maxConnections = static_cast<std::size_t>(mostConnections(settings));
-    options.maxHeldBytes = static_cast<std::size_t>(settings.maxHeldRequestBytes);
+    options.heldInput = { static_cast<std::size_t>(settings.maxHeldRequestBytes), settings.bodyStallBound };
     options.limitReached = [&metrics](std::string_view limit) {
         metrics.countCallerLimit(limit);
         LogLine(LogLevel::Warning, "caller_limit_reached").add("limit", limit);
--- a/src/entry/CallerServiceFixture.h
+++ b/src/entry/CallerServiceFixture.h
@@ -310,7 +310,7 @@
         options.limits.writeTimeout = settings.writeTimeout;
         options.limits.idleTimeout = settings.idleTimeout;
         options.maxConnections = static_cast<std::size_t>(settings.maxConnections);
-        options.maxHeldBytes = static_cast<std::size_t>(settings.maxHeldRequestBytes);
+        options.heldInput = { static_cast<std::size_t>(settings.maxHeldRequestBytes), settings.bodyStallBound };
         auto made = HttpServer::Make(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0), options,
             [this](HttpExchange& exchange) { return service->handle(exchange); });
         server = std::move(*made);
--- a/src/entry/RequestMachine.cpp
+++ b/src/entry/RequestMachine.cpp
@@ -194,7 +194,7 @@
         if (left) {
             act(DropCaller { event.reason, runStatus() });
         } else {
-            end(event.reason);
+            end(event.reason, event.retryAfter);
         }
     }
 
--- a/src/entry/RequestMachine.h
+++ b/src/entry/RequestMachine.h
@@ -82,6 +82,7 @@
 // Ends the request: refused, withdrawn key, deadline, caller left or stalled.
 struct Stopped {
     CallerError reason;
+    Duration retryAfter {};
 };
 
 using RequestEvent = std::variant<HeadRead, Authenticated, BodyRead, Granted, PlacementRefused, Connected, RequestSent,
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -270,7 +270,8 @@
     auto body = co_await m_exchange.readBody();
     m_wait = Wait::Nothing;
     if (!body) {
-        co_return Stopped { errorOf(body.error().code) };
+        auto error = errorOf(body.error().code);
+        co_return Stopped { error, error == CallerError::Overloaded ? m_exchange.timeToRoom() : Duration(0) };
     }
     if (auto checked = m_services.dialect.admitBody(*m_snapshot, m_request, *body); !checked) {
         co_return Stopped { checked.error() };
--- a/src/http/HeldInput.h
+++ b/src/http/HeldInput.h
@@ -1,62 +1,85 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 
+#include <boost/intrusive/list.hpp>
+
+#include "lagoonspoke/core/Time.h"
+
 namespace lagoonspoke {
 
-// Counts the bytes that callers sent for their present requests, over all connections of a server, so that many bodies
-// that are each inside the limit do not take the process's memory. Owned by an HttpServer; its shares may outlive it.
+// Counts the memory that callers' present requests take, over all connections of a server, so that many requests that
+// are each inside the limits do not take the process's memory. Requests whose callers stopped sending give way first,
+// then the latest ones, so that those before them complete. Owned by an HttpServer; its shares may outlive it.
 class HeldInput {
 public:
-    explicit HeldInput(std::size_t most)
-        : m_state(std::make_shared<State>(State { most, 0 }))
-    {
-    }
+    struct Limits {
+        std::size_t mostBytes = 32 << 20;
+        // A request that is being read has stalled when less than 1 KiB of it arrived in this time.
+        Duration stallBound = std::chrono::seconds(1);
+    };
+    class Share;
+
+    explicit HeldInput(Limits);
 
-    std::size_t total() const { return m_state->total; }
+    std::size_t total() const;
+    // Ends the reading of the request that has stalled for longest; false if there is none.
+    bool evictStalled(MonotonicTime now);
+    // Time until a request that is being read can have stalled, and so until there may be room; zero when none is read.
+    Duration timeToRoom(MonotonicTime now) const;
 
 private:
-    struct State {
-        std::size_t most;
-        std::size_t total;
-    };
+    struct State;
+
+    std::shared_ptr<State> m_state;
+};
 
+enum class InputAdmission {
+    Admitted,
+    Refused, // too much is held, and others came first
+    Evicted, // stalled, while others needed its memory or its connection
+};
+
+// The memory of one connection's present request. Owned by the connection.
+class HeldInput::Share {
 public:
-    // The bytes of one connection. Owned by it.
-    class Share {
-    public:
-        explicit Share(const HeldInput& held)
-            : m_state(held.m_state)
-        {
-        }
-        ~Share() { set(0); }
-        Share(const Share&) = delete;
-        Share& operator=(const Share&) = delete;
-
-        void set(std::size_t n)
-        {
-            m_state->total += n - m_bytes;
-            m_bytes = n;
-        }
-        // Whether the request may go on. Above the limit small ones still do, so that a few callers with large bodies
-        // keep nobody else out.
-        bool isAdmitted() const
-        {
-            bool isSmall = m_bytes <= m_state->most / smallPart && m_state->total <= 2 * m_state->most;
-            return m_state->total <= m_state->most || isSmall;
-        }
-
-    private:
-        // 128 KiB of the default limit of 32 MiB.
-        static constexpr std::size_t smallPart = 256;
-
-        std::shared_ptr<State> m_state;
-        std::size_t m_bytes = 0;
-    };
+    explicit Share(const HeldInput&);
+    ~Share();
+    Share(const Share&) = delete;
+    Share& operator=(const Share&) = delete;
+
+    // Begins the reading of a head or a body. The callback ends it; it is called at most once, and not after
+    // stopReading().
+    void startReading(MonotonicTime now, std::function<void()> end);
+    void noteReceived(std::size_t bytes, MonotonicTime now);
+    void stopReading();
+    // Sets the bytes of the present request. Where that leaves too much, ends the reading of stalled requests, then of
+    // those that became large last, which may be this one.
+    InputAdmission hold(std::size_t bytes, MonotonicTime now);
+    // Forgets the request.
+    void release();
+
+    InputAdmission admission() const { return m_admission; }
+    // As of the HeldInput.
+    Duration timeToRoom(MonotonicTime now) const;
 
 private:
+    friend class HeldInput;
+    using Hook = boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
+    void set(std::size_t bytes);
+    void endReading(InputAdmission);
+
     std::shared_ptr<State> m_state;
+    std::size_t m_bytes = 0;
+    InputAdmission m_admission = InputAdmission::Admitted;
+    std::function<void()> m_end;
+    MonotonicTime m_progressTime;
+    std::size_t m_sinceProgress = 0;
+    Hook m_reading;
+    Hook m_large;
 };
 
 } // namespace lagoonspoke
--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -16,11 +16,60 @@
     return headers;
 }
 
+namespace {
+
+// What a header field takes besides its text: the parser's entry, and those of the copies that a request makes.
+constexpr std::size_t fieldBytes = 224;
+// The parser's text of the head, and the one that is forwarded.
+constexpr std::size_t headCopies = 2;
+constexpr std::size_t minReadBytes = 512;
+constexpr std::size_t maxReadBytes = 16 * 1024;
+
+std::size_t measureFields(const http::fields& fields)
+{
+    std::size_t bytes = 0;
+    for (const auto& field : fields) {
+        bytes += fieldBytes + headCopies * (field.name_string().size() + field.value().size());
+    }
+    return bytes;
+}
+
+} // namespace
+
+asio::awaitable<std::pair<error_code, std::size_t>> readStep(HttpConnection& connection, RequestParser& parser)
+{
+    auto& buffer = connection.buffer;
+    error_code ec;
+    if (buffer.size() > 0) {
+        buffer.consume(parser.put(buffer.data(), ec));
+        if (ec != http::error::need_more) {
+            co_return std::pair(ec, std::size_t(0));
+        }
+    }
+    auto room = buffer.max_size() - std::min(buffer.max_size(), buffer.size());
+    if (room == 0) {
+        co_return std::pair(error_code(http::error::buffer_overflow), std::size_t(0));
+    }
+    auto space
+        = buffer.prepare(std::min(room, std::clamp(buffer.capacity() - buffer.size(), minReadBytes, maxReadBytes)));
+    auto [readError, n] = co_await connection.stream.async_read_some(space, useTuple);
+    if (readError == asio::error::eof) {
+        readError = parser.got_some() ? http::error::partial_message : http::error::end_of_stream;
+    }
+    buffer.commit(n);
+    if (n == space.size()) {
+        // More is waiting, so the next read takes more at once.
+        buffer.reserve(std::min({ 2 * buffer.capacity(), maxReadBytes, buffer.max_size() }));
+    }
+    co_return std::pair(error_code(readError), n);
+}
+
 HttpExchange::HttpExchange(HttpConnection& connection, Parser& parser, const Limits& limits, const bool& serverClosing)
     : m_connection(connection)
     , m_parser(parser)
     , m_limits(limits)
     , m_serverClosing(serverClosing)
+    , m_headBytes(measureFields(parser.get()))
     , m_keepAlive(parser.get().keep_alive())
 {
     // Where such a body ends is not known, so what follows must not be read as a request.
@@ -58,15 +107,20 @@
     ReadBound bound(m_connection.stream, m_limits.readTimeout);
     m_parser.eager(true);
     error_code ec;
-    while (!ec && !m_parser.is_done()) {
-        auto [readError, n]
-            = co_await http::async_read_some(m_connection.stream, m_connection.buffer, m_parser, useTuple);
+    auto& held = m_connection.held;
+    auto now = readMonotonicClock();
+    held.startReading(now, [this] { m_connection.stream.cancel(); });
+    while (holdInput(now) && !ec && !m_parser.is_done()) {
+        auto [readError, n] = co_await readStep(m_connection, m_parser);
         ec = readError;
-        m_connection.held.set(m_parser.get().body().size() + m_connection.buffer.size());
-        if (!ec && !m_connection.held.isAdmitted()) {
-            m_keepAlive = false;
-            co_return makeError(ErrorCode::Overloaded, "too many bytes of requests are held");
-        }
+        now = readMonotonicClock();
+        held.noteReceived(n, now);
+    }
+    held.stopReading();
+    if (held.admission() != InputAdmission::Admitted) {
+        m_keepAlive = false;
+        m_parser.get().body() = {};
+        co_return makeError(ErrorCode::Overloaded, "too many bytes of requests are held");
     }
     if (!ec) {
         co_return std::move(m_parser.get().body());
@@ -84,6 +138,12 @@
     co_return makeError(ended ? ErrorCode::Unavailable : ErrorCode::ProtocolViolation, ec.message());
 }
 
+bool HttpExchange::holdInput(MonotonicTime now)
+{
+    auto bytes = m_headBytes + m_parser.get().body().size() + m_connection.buffer.capacity();
+    return m_connection.held.hold(bytes, now) == InputAdmission::Admitted;
+}
+
 template <typename Response>
 void HttpExchange::fillHead(Response& response, std::string_view contentType, const HeaderList& headers)
 {
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -44,6 +44,10 @@
     }
 };
 
+// Parses what the buffer has, or reads more of it. Unlike Beast's operation it returns after each read, so that what
+// the buffer holds can be counted. Gives the bytes read. Errors: those of the parser and of the socket.
+asio::awaitable<std::pair<error_code, std::size_t>> readStep(HttpConnection&, RequestParser&);
+
 // One request of a connection and the response to it. Owned by HttpServer's session for the time of its handler.
 // Every operation is bounded by the limits; after an error the connection closes when the handler returns.
 class HttpExchange {
@@ -64,7 +68,7 @@
 
     // The reference to serverClosing is read when a response starts: it then says "Connection: close".
     HttpExchange(HttpConnection&, Parser&, const Limits&, const bool& serverClosing);
-    ~HttpExchange() { m_connection.held.set(0); }
+    ~HttpExchange() { m_connection.held.release(); }
     HttpExchange(const HttpExchange&) = delete;
     HttpExchange& operator=(const HttpExchange&) = delete;
 
@@ -72,9 +76,13 @@
     std::string_view target() const;
     std::string_view header(std::string_view name) const;
 
-    // Reads the body. Errors: TooLarge, TimedOut, ProtocolViolation; Overloaded when too much is held for all callers;
-    // Unavailable when the connection ended.
+    // Counts what the request takes in memory; false if it has to be refused, as too much is held for all callers.
+    bool holdInput(MonotonicTime now);
+    // Reads the body. Errors: TooLarge, TimedOut, ProtocolViolation; Overloaded when too much is held for all callers,
+    // or when the body stalled while others needed its memory or its connection; Unavailable when the connection ended.
     asio::awaitable<Outcome<std::string>> readBody();
+    // After Overloaded, the time until there may be room for the request.
+    Duration timeToRoom() const { return m_connection.held.timeToRoom(readMonotonicClock()); }
 
     asio::awaitable<error_code> respond(
         http::status, std::string_view contentType, std::string body, const HeaderList& headers = {});
@@ -112,6 +120,7 @@
     Parser& m_parser;
     const Limits& m_limits;
     const bool& m_serverClosing;
+    std::size_t m_headBytes; // in memory, with the copies that are made of it
     bool m_keepAlive;
     bool m_responseStarted = false;
     bool m_broken = false;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,12 +1,10 @@
 #include "http/HttpServer.h"
 
-#include <array>
-
 #include <fmt/format.h>
 
-#include "http/CallerError.h"
 #include "http/CallerWatch.h"
 #include "http/ReadBound.h"
+#include "http/Rejection.h"
 
 namespace lagoonspoke {
 
@@ -14,9 +12,6 @@
 
 // Bounds the work that connections over the limit cause; beyond it they are closed without a response.
 constexpr std::size_t maxRejecting = 64;
-// Time for the other side to read the last response; closing at once with unread input would make the kernel
-// discard it.
-constexpr auto lingerBound = std::chrono::seconds(1);
 
 enum class Phase {
     Idle,
@@ -38,6 +33,7 @@
     HttpConnection connection;
     Phase phase = Phase::Idle;
     std::chrono::steady_clock::time_point since = std::chrono::steady_clock::now(); // in this phase
+    bool evicted = false; // while its body arrived
 };
 
 struct ActiveCount {
@@ -57,43 +53,11 @@
     return ec.category() == category && ec != http::error::end_of_stream && ec != http::error::partial_message;
 }
 
-std::string formatRejection(CallerError error)
-{
-    auto body = formatErrorBody(error, RunStatus::NotRun);
-    auto status = httpStatusOf(error);
-    return fmt::format("HTTP/1.1 {} {}\r\ncontent-type: application/json\r\nx-lagoonspoke-run: not-run\r\n"
-                       "connection: close\r\ncontent-length: {}\r\n\r\n{}",
-        status, std::string(http::obsolete_reason(http::int_to_status(status))), body.size(), body);
-}
-
-// Sends a response without having read a request.
-asio::awaitable<void> reject(beast::tcp_stream& stream, CallerError error)
-{
-    auto response = formatRejection(error);
-    stream.expires_after(lingerBound);
-    co_await asio::async_write(stream, asio::buffer(response), useTuple);
-}
-
-asio::awaitable<void> lingerAndClose(beast::tcp_stream& stream)
-{
-    error_code ec;
-    stream.socket().shutdown(tcp::socket::shutdown_send, ec);
-    std::array<char, 4096> buf;
-    {
-        ReadBound bound(stream, lingerBound);
-        while (!ec && !bound.expired()) {
-            auto [readError, n] = co_await stream.async_read_some(asio::buffer(buf), useTuple);
-            ec = readError;
-        }
-    }
-    stream.close();
-}
-
-asio::awaitable<void> rejectConnection(tcp::socket socket, std::shared_ptr<std::size_t> rejecting)
+asio::awaitable<void> rejectConnection(tcp::socket socket, Duration retryAfter, std::shared_ptr<std::size_t> rejecting)
 {
     ++*rejecting;
     beast::tcp_stream stream(std::move(socket));
-    co_await reject(stream, CallerError::TooManyConnections);
+    co_await reject(stream, CallerError::TooManyConnections, retryAfter);
     co_await lingerAndClose(stream);
     --*rejecting;
 }
@@ -107,7 +71,7 @@
         , acceptor(context)
         , options(std::move(serverOptions))
         , handler(std::move(requestHandler))
-        , held(options.maxHeldBytes)
+        , held(options.heldInput)
     {
     }
 
@@ -127,13 +91,15 @@
             options.limitReached(limit);
         }
     }
-    // Closes a connection that runs no request; returns whether there was one.
+    // Closes a connection whose request is not complete; returns whether there was one.
     bool evictConnection();
+    void reportInputLimits(const Session&) const;
 
     static asio::awaitable<void> acceptConnections(std::shared_ptr<State>);
     static asio::awaitable<void> runSession(std::shared_ptr<State>, std::list<Session>::iterator);
     static asio::awaitable<bool> waitForRequest(State&, Session&);
     static asio::awaitable<bool> runRequest(State&, Session&);
+    static asio::awaitable<bool> refuseInput(State&, Session&);
 };
 
 Outcome<std::unique_ptr<HttpServer>> HttpServer::Make(
@@ -242,7 +208,9 @@
         if (state->sessions.size() >= state->options.maxConnections && !state->evictConnection()) {
             state->reportLimit("connections");
             if (*state->rejecting < maxRejecting) {
-                asio::co_spawn(state->io, rejectConnection(std::move(socket), state->rejecting), asio::detached);
+                auto retryAfter = state->held.timeToRoom(readMonotonicClock());
+                asio::co_spawn(
+                    state->io, rejectConnection(std::move(socket), retryAfter, state->rejecting), asio::detached);
             }
             continue;
         }
@@ -264,7 +232,7 @@
         }
     }
     if (!oldest) {
-        return false;
+        return held.evictStalled(readMonotonicClock());
     }
     reportLimit("idle_connections");
     oldest->enter(Phase::Closing);
@@ -272,6 +240,20 @@
     return true;
 }
 
+void HttpServer::State::reportInputLimits(const Session& session) const
+{
+    switch (session.connection.held.admission()) {
+    case InputAdmission::Refused:
+        reportLimit("held_bytes");
+        break;
+    case InputAdmission::Evicted:
+        reportLimit("stalled_requests");
+        break;
+    case InputAdmission::Admitted:
+        break;
+    }
+}
+
 asio::awaitable<void> HttpServer::State::runSession(std::shared_ptr<State> state, std::list<Session>::iterator it)
 {
     bool more = true;
@@ -283,7 +265,11 @@
         more = more && !state->closing;
     }
     it->phase = Phase::Closing;
-    co_await lingerAndClose(it->connection.stream);
+    if (it->evicted) {
+        it->connection.stream.close();
+    } else {
+        co_await lingerAndClose(it->connection.stream);
+    }
     state->sessions.erase(it);
 }
 
@@ -292,7 +278,8 @@
 {
     session.enter(Phase::Idle);
     auto& stream = session.connection.stream;
-    if (session.connection.buffer.size() > 0) {
+    auto& buffer = session.connection.buffer;
+    if (buffer.size() > 0) {
         co_return true;
     }
     if (state.closing && isQuiet(stream.socket())) {
@@ -329,14 +316,26 @@
     parser.header_limit(static_cast<std::uint32_t>(state.options.limits.maxHeaderBytes));
     // HttpExchange::readBody() limits the body, after the head could be answered.
     parser.body_limit(boost::none);
+    auto& held = connection.held;
+    auto now = readMonotonicClock();
+    auto admits = [&] { return held.hold(connection.buffer.capacity(), now) == InputAdmission::Admitted; };
     error_code ec;
     bool timedOut = false;
+    held.startReading(now, [&connection] { connection.stream.cancel(); });
     {
         ReadBound bound(connection.stream, state.options.limits.readTimeout);
-        auto [readError, n] = co_await http::async_read_header(connection.stream, connection.buffer, parser, useTuple);
-        ec = readError;
+        while (admits() && !ec && !parser.is_header_done()) {
+            auto [readError, n] = co_await readStep(connection, parser);
+            ec = readError;
+            now = readMonotonicClock();
+            held.noteReceived(n, now);
+        }
         timedOut = bound.expired();
     }
+    held.stopReading();
+    if (held.admission() != InputAdmission::Admitted) {
+        co_return co_await refuseInput(state, session);
+    }
     if (ec) {
         if (session.phase == Phase::Closing) {
             co_return false;
@@ -347,17 +346,33 @@
             co_await reject(connection.stream,
                 ec == http::error::header_limit ? CallerError::HeaderTooLarge : CallerError::MalformedRequest);
         }
+        held.release();
         co_return false;
     }
     session.enter(Phase::Active);
     HttpExchange exchange(connection, parser, state.options.limits, state.closing);
+    if (!exchange.holdInput(now)) {
+        co_return co_await refuseInput(state, session);
+    }
     co_await state.handler(exchange);
-    if (!connection.held.isAdmitted()) {
-        state.reportLimit("held_bytes");
-    } else if (!parser.is_done() && connection.buffer.size() == connection.buffer.max_size()) {
+    session.evicted = held.admission() == InputAdmission::Evicted;
+    state.reportInputLimits(session);
+    if (held.admission() == InputAdmission::Admitted && !parser.is_done()
+        && connection.buffer.size() == connection.buffer.max_size()) {
         state.reportLimit("unparsed_bytes");
     }
     co_return exchange.keepAlive();
 }
 
+// Refuses a request that cannot be held, before its handler runs.
+asio::awaitable<bool> HttpServer::State::refuseInput(State& state, Session& session)
+{
+    auto& held = session.connection.held;
+    session.evicted = held.admission() == InputAdmission::Evicted;
+    state.reportInputLimits(session);
+    co_await reject(session.connection.stream, CallerError::Overloaded, held.timeToRoom(readMonotonicClock()));
+    held.release();
+    co_return false;
+}
+
 } // namespace lagoonspoke
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -17,11 +17,11 @@
 
     struct Options {
         HttpExchange::Limits limits;
-        // Beyond it, the connection that has been idle for longest makes room for a new one, or one whose head is not
-        // complete.
+        // Beyond it, the connection that has been idle for longest makes room for a new one, then one whose head is not
+        // complete, then one whose body has stalled.
         std::size_t maxConnections = 4096;
-        // Bytes of the requests of all connections that are held at the same time.
-        std::size_t maxHeldBytes = 32 << 20;
+        // Of the requests of all connections.
+        HeldInput::Limits heldInput;
         // Called when a limit was reached that ordinary callers do not reach, with its name.
         std::function<void(std::string_view limit)> limitReached = {};
         // Lets several servers, one for each thread, listen on the same port.
--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -155,6 +155,7 @@
     settings.maxUnparsedBytes = reader.readInteger("max_unparsed_bytes", 1024, 1 << 30, settings.maxUnparsedBytes);
     settings.maxHeldRequestBytes
         = reader.readInteger("max_held_request_bytes", 1 << 16, std::int64_t { 1 } << 40, settings.maxHeldRequestBytes);
+    settings.bodyStallBound = reader.readMilliseconds("body_stall_ms", 10ms, 1h, settings.bodyStallBound);
     readTimeouts(reader, settings);
     readConventions(reader, settings);
     readPlatform(reader, settings);
--- a/src/settings/DaemonSettings.h
+++ b/src/settings/DaemonSettings.h
@@ -47,6 +47,8 @@
     std::int64_t maxUnparsedBytes = 64 * 1024;
     // Of the requests of all callers that are held at the same time, for each traffic thread.
     std::int64_t maxHeldRequestBytes = 32 << 20;
+    // Time in which a body that is being read has to make progress; later it gives way to others.
+    Duration bodyStallBound = std::chrono::seconds(1);
     Duration idleTimeout = std::chrono::seconds(60);
     Duration readTimeout = std::chrono::seconds(10);
     Duration writeTimeout = std::chrono::seconds(10);
