Give the memory of a crowd back

What the requests of a crowd took stayed with the process after they had gone, as the allocator kept it, and so did the read buffers of connections that stayed: the next crowd began where the last one had ended. Buffers above 4 KiB are freed when their connection is idle or closing. Once at most half of what was held is left, and that was 8 MiB or more, free memory goes back to the machine.

--- a/src/http/HeldInput.cpp
+++ b/src/http/HeldInput.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t smallPart = 256;
 // Requests of this size are always admitted; the limit on connections bounds them.
 constexpr std::size_t tinyRequest = 16 * 1024;
+// Less than this is not worth giving back.
+constexpr std::size_t reliefBytes = 8 << 20;
 
 } // namespace
 
@@ -45,6 +47,7 @@
 
     Limits limits;
     std::size_t total = 0;
+    std::size_t highest = 0; // since the last relief
     List<&Share::m_reading> reading {}; // the one without progress for longest in front
     List<&Share::m_large> large {}; // those being read that are not small; the latest at the back
 };
@@ -69,6 +72,15 @@
     return m_state->timeToRoom(now);
 }
 
+bool HeldInput::takeRelief()
+{
+    bool relieved = m_state->highest >= reliefBytes && m_state->total <= m_state->highest / 2;
+    if (relieved) {
+        m_state->highest = m_state->total;
+    }
+    return relieved;
+}
+
 HeldInput::Share::Share(const HeldInput& held)
     : m_state(held.m_state)
 {
@@ -140,6 +152,7 @@
 void HeldInput::Share::set(std::size_t bytes)
 {
     m_state->total += bytes - m_bytes;
+    m_state->highest = std::max(m_state->highest, m_state->total);
     m_bytes = bytes;
 }
 
--- a/src/http/HeldInputTest.cpp
+++ b/src/http/HeldInputTest.cpp
@@ -132,4 +132,17 @@
     CHECK(held.total() == mostBytes);
 }
 
+// Guards against a process that keeps the memory of a crowd, so that the next one finds less.
+TEST_CASE("Relief is told once after much was held")
+{
+    HeldInput held({ 64 << 20, 1s });
+    CHECK_FALSE(held.takeRelief());
+    Reader reader(held);
+    reader.share.hold(20 << 20, start);
+    CHECK_FALSE(held.takeRelief());
+    reader.share.release();
+    CHECK(held.takeRelief());
+    CHECK_FALSE(held.takeRelief());
+}
+
 } // namespace lagoonspoke
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "http/HttpServer.h"
 
+#include <malloc.h>
+
 #include <fmt/format.h>
 
 #include "http/CallerWatch.h"
@@ -12,6 +14,8 @@
 
 // Bounds the work that connections over the limit cause; beyond it they are closed without a response.
 constexpr std::size_t maxRejecting = 64;
+// Read buffers above it are freed while their connection is idle.
+constexpr std::size_t maxIdleBuffer = 4096;
 
 enum class Phase {
     Idle,
@@ -91,6 +95,8 @@
             options.limitReached(limit);
         }
     }
+    // Gives memory that the requests of many callers took back to the machine.
+    void giveMemoryBack();
     // Closes a connection whose request is not complete; returns whether there was one.
     bool evictConnection();
     void reportInputLimits(const Session&) const;
@@ -221,6 +227,13 @@
     }
 }
 
+void HttpServer::State::giveMemoryBack()
+{
+    if (held.takeRelief()) {
+        ::malloc_trim(0);
+    }
+}
+
 bool HttpServer::State::evictConnection()
 {
     Session* oldest = nullptr;
@@ -261,10 +274,12 @@
         more = co_await waitForRequest(*state, *it);
         if (more) {
             more = co_await runRequest(*state, *it);
+            state->giveMemoryBack();
         }
         more = more && !state->closing;
     }
     it->phase = Phase::Closing;
+    it->connection.buffer = beast::flat_buffer();
     if (it->evicted) {
         it->connection.stream.close();
     } else {
@@ -282,6 +297,9 @@
     if (buffer.size() > 0) {
         co_return true;
     }
+    if (buffer.capacity() > maxIdleBuffer) {
+        buffer.shrink_to_fit();
+    }
     if (state.closing && isQuiet(stream.socket())) {
         co_return false;
     }
