--- a/src/http/HeldInput.cpp
+++ b/src/http/HeldInput.cpp
@@ -6,15 +6,15 @@
 
 namespace {
 
-// Bytes that count as progress of a request; fewer do not keep it from stalling.
-constexpr std::size_t progressBytes = 1024;
+// Fewer bytes do not keep a request from stalling.
+constexpr std::size_t minProgressBytes = 1024;
 // Above the limit, and up to twice the limit, requests with this part of it are still admitted, so that a few callers
 // with large bodies keep nobody else out: 128 KiB of the default limit.
 constexpr std::size_t smallPart = 256;
 // Requests of this size are always admitted; the limit on connections bounds them.
 constexpr std::size_t tinyRequest = 16 * 1024;
-// Less than this is not worth giving back.
-constexpr std::size_t reliefBytes = 8 << 20;
+// A lower peak leaves little to return to the system.
+constexpr std::size_t minTrimmedPeak = 8 << 20;
 
 } // namespace
 
@@ -47,7 +47,7 @@
 
     Limits limits;
     std::size_t total = 0;
-    std::size_t highest = 0; // since the last relief
+    std::size_t peak = 0; // of the total, since it was reset
     List<&Share::m_reading> reading {}; // the one without progress for longest in front
     List<&Share::m_large> large {}; // those being read that are not small; the latest at the back
 };
@@ -72,13 +72,13 @@
     return m_state->timeToRoom(now);
 }
 
-bool HeldInput::takeRelief()
+bool HeldInput::resetFallenPeak()
 {
-    bool relieved = m_state->highest >= reliefBytes && m_state->total <= m_state->highest / 2;
-    if (relieved) {
-        m_state->highest = m_state->total;
+    bool hasFallen = m_state->peak >= minTrimmedPeak && m_state->total <= m_state->peak / 2;
+    if (hasFallen) {
+        m_state->peak = m_state->total;
     }
-    return relieved;
+    return hasFallen;
 }
 
 HeldInput::Share::Share(const HeldInput& held)
@@ -103,7 +103,7 @@
 void HeldInput::Share::noteReceived(std::size_t bytes, MonotonicTime now)
 {
     m_sinceProgress += bytes;
-    if (m_sinceProgress >= progressBytes && m_reading.is_linked()) {
+    if (m_sinceProgress >= minProgressBytes && m_reading.is_linked()) {
         m_progressTime = now;
         m_sinceProgress = 0;
         auto& reading = m_state->reading;
@@ -152,7 +152,7 @@
 void HeldInput::Share::set(std::size_t bytes)
 {
     m_state->total += bytes - m_bytes;
-    m_state->highest = std::max(m_state->highest, m_state->total);
+    m_state->peak = std::max(m_state->peak, m_state->total);
     m_bytes = bytes;
 }
 
--- a/src/http/HeldInput.h
+++ b/src/http/HeldInput.h
@@ -29,8 +29,9 @@
     bool evictStalled(MonotonicTime now);
     // Time until a request that is being read can have stalled, and so until there may be room; zero when none is read.
     Duration timeToRoom(MonotonicTime now) const;
-    // Whether much less is held than before, so that the process can give memory back; once for each such time.
-    bool takeRelief();
+    // Resets the peak of the total once at most half of it is left. Returns whether it did, as free memory can then be
+    // returned to the system.
+    bool resetFallenPeak();
 
 private:
     struct State;
--- a/src/http/HeldInputTest.cpp
+++ b/src/http/HeldInputTest.cpp
@@ -133,16 +133,16 @@
 }
 
 // Guards against a process that keeps the memory of a crowd, so that the next one finds less.
-TEST_CASE("Relief is told once after much was held")
+TEST_CASE("The peak is reset once, when the total has fallen")
 {
     HeldInput held({ 64 << 20, 1s });
-    CHECK_FALSE(held.takeRelief());
+    CHECK_FALSE(held.resetFallenPeak());
     Reader reader(held);
     reader.share.hold(20 << 20, start);
-    CHECK_FALSE(held.takeRelief());
+    CHECK_FALSE(held.resetFallenPeak());
     reader.share.release();
-    CHECK(held.takeRelief());
-    CHECK_FALSE(held.takeRelief());
+    CHECK(held.resetFallenPeak());
+    CHECK_FALSE(held.resetFallenPeak());
 }
 
 } // namespace lagoonspoke
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -37,7 +37,7 @@
     HttpConnection connection;
     Phase phase = Phase::Idle;
     std::chrono::steady_clock::time_point since = std::chrono::steady_clock::now(); // in this phase
-    bool evicted = false; // while its body arrived
+    bool evicted = false; // stalled; its connection closes at once
 };
 
 struct ActiveCount {
@@ -95,8 +95,8 @@
             options.limitReached(limit);
         }
     }
-    // Gives memory that the requests of many callers took back to the machine.
-    void giveMemoryBack();
+    // Returns free memory to the system after many or large requests.
+    void trimMemory();
     // Closes a connection whose request is not complete; returns whether there was one.
     bool evictConnection();
     void reportInputLimits(const Session&) const;
@@ -227,9 +227,9 @@
     }
 }
 
-void HttpServer::State::giveMemoryBack()
+void HttpServer::State::trimMemory()
 {
-    if (held.takeRelief()) {
+    if (held.resetFallenPeak()) {
         ::malloc_trim(0);
     }
 }
@@ -274,7 +274,7 @@
         more = co_await waitForRequest(*state, *it);
         if (more) {
             more = co_await runRequest(*state, *it);
-            state->giveMemoryBack();
+            state->trimMemory();
         }
         more = more && !state->closing;
     }
