Share the options of Connection between both dialects

What is forwarded stays the same.

x86-64, plain build: httpTests with a new case, entryTests, platformTests and lint pass.

--- a/src/entry/RequestAdmission.cpp
+++ b/src/entry/RequestAdmission.cpp
@@ -108,29 +108,13 @@
 
 namespace {
 
-// Whether a comma-separated header value has the token.
-bool listsToken(std::string_view list, std::string_view token)
-{
-    while (!list.empty()) {
-        auto end = std::min(list.find(','), list.size());
-        auto item = list.substr(0, end);
-        list.remove_prefix(std::min(end + 1, list.size()));
-        item.remove_prefix(std::min(item.find_first_not_of(" \t"), item.size()));
-        item = item.substr(0, item.find_last_not_of(" \t") + 1);
-        if (equalsIgnoringCase(item, token)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 HeaderList selectHeaders(const CallerHead& head)
 {
     HeaderList selected;
-    auto connection = head.header("connection");
+    auto options = connectionOptionsOf(head.header("connection"));
     for (const auto& [name, value] : head.headers) {
         // A header that Connection names is hop-by-hop.
-        if (std::ranges::count(requestHeaders, name) && !listsToken(connection, name)) {
+        if (std::ranges::count(requestHeaders, name) && !options.contains(name)) {
             selected.emplace_back(name, value);
         }
     }
--- a/src/http/HeaderField.cpp
+++ b/src/http/HeaderField.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/str_split.h>
 
 namespace lagoonspoke {
 
@@ -17,4 +18,13 @@
     head += "\r\n";
 }
 
+ConnectionOptions connectionOptionsOf(std::string_view value)
+{
+    ConnectionOptions options;
+    for (auto option : absl::StrSplit(std::string(value), ',')) {
+        options.insert(absl::AsciiStrToLower(absl::StripAsciiWhitespace(option)));
+    }
+    return options;
+}
+
 } // namespace lagoonspoke
--- a/src/http/HeaderField.h
+++ b/src/http/HeaderField.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -9,4 +11,9 @@
 // 9110, section 5.5, allows, so that no value can begin a field of its own.
 void appendHeaderField(std::string& head, std::string_view name, std::string_view value);
 
+// The options of a Connection header, in lower case. A set, as a head may name thousands of them beside thousands of
+// fields.
+using ConnectionOptions = std::set<std::string, std::less<>>;
+ConnectionOptions connectionOptionsOf(std::string_view value);
+
 } // namespace lagoonspoke
--- a/src/http/HeaderFieldTest.cpp
+++ b/src/http/HeaderFieldTest.cpp
@@ -13,4 +13,10 @@
     CHECK(head == "GET / HTTP/1.1\r\nfirst: a  second: b  \r\nthird: c,\td; e=\"\xc3\xa9\"\r\n");
 }
 
+// Guards against forwarding a field that Connection names in another case or beside blanks.
+TEST_CASE("Options of Connection are found in any case and without the blanks around them")
+{
+    CHECK(connectionOptionsOf("Keep-Alive,\t X-Hop ,close") == ConnectionOptions { "close", "keep-alive", "x-hop" });
+}
+
 } // namespace lagoonspoke
