--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -305,12 +305,15 @@
     def __init__(self, record, name, service, zone, slots, events, pause_s):
         super().__init__(record, name, service, zone, 0, slots)
         self.events, self.pause_s = events, pause_s
+        self.dark = False  # says nothing more, on any connection
 
     async def handle(self, reader, writer):
         while message := await read_message(reader):
             headers = message[1]
             request = headers.get("attempt-id", "")
             answer = {"Attempt-Id": request}
+            while self.dark:
+                await asyncio.sleep(1)
             if headers.get("expect-instance", self.name) != self.name:
                 writer.write(format_answer(421, answer, b""))
                 await writer.drain()
@@ -329,6 +332,8 @@
                 writer.write(head.encode() + b"\r\n")
                 for number in range(int(headers.get("last-event-id", 0)) + 1, self.events + 1):
                     await asyncio.sleep(self.pause_s)
+                    while self.dark:
+                        await asyncio.sleep(1)
                     event = f"id: {number}\ndata: {self.name}\n\n".encode()
                     writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
                     await writer.drain()
