--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -10,6 +10,7 @@
 import socket
 import sys
 import time
+import traceback
 import urllib.parse
 
 REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone", 421: "Misdirected Request",
@@ -455,5 +456,8 @@
             return await run()
         except asyncio.CancelledError:
             return 2
+        except Exception:  # the case couldn't run
+            traceback.print_exc()
+            return 2
 
     sys.exit(asyncio.run(guarded()))
