--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,7 +13,8 @@
 from standins import Cloud, Daemon, Record, Store, ask, main, program_path, wait_until  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-TRIALS = 8
+TRIALS = 12
+SOUND_PER_S = 12  # other requests, answered soundly
 ZONES = ["z-a", "z-b", "z-c"]
 KEY = "n2ctnfzs989anu6wsjnb"
 WHOLE = b"w" * 800  # the worker's body
@@ -30,8 +31,9 @@
 class Worker:
     """Answers before it has read a long body, without a length. Its port can be cut off: connections to it then hang."""
 
-    def __init__(self, record, name, zone):
-        self.record, self.name, self.zone = record, name, zone
+    def __init__(self, record, name, zone, garbles):
+        self.record, self.name, self.zone, self.garbles = record, name, zone, garbles
+        self.answers = self.broken = 0
         self.born = int(time.time() * 1000)
         self.fillers = []
         self.listener = socket.socket()
@@ -92,13 +94,15 @@
             self.record.add(f"worker {self.name} runs {request}, {headers.get('content-length')} bytes")
             answer = (f"HTTP/1.1 200 OK\r\nAttempt-Id: {request}\r\nInstance-Signature: sig.{self.name}\r\n"
                       "Content-Type: text/plain\r\nConnection: close\r\n\r\n").encode()
-            if TROUBLE:
+            if TROUBLE and self.garbles and len(body) + 1 < int(headers.get("content-length", 0)) // 1000:
                 connection.sendall(answer + WHOLE[:PART])
                 time.sleep(0.3)
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 connection.close()
+                self.broken += 1
                 self.record.add(f"worker {self.name} has sent {PART} of {len(WHOLE)} bytes for {request}, and resets")
                 return
+            self.answers += 1
             left = int(headers.get("content-length", 0)) - len(body)
             while left > 0:
                 left -= len(connection.recv(65536))
@@ -115,11 +119,28 @@
     await store.open()
     await cloud.open()
     await store.put("config", "main", CONFIGURATION)
-    worker = Worker(record, "i-00000000", ZONES[0])
-    await store.put("servers", worker.name, worker.entry())
-    answers = []
+    workers = [Worker(record, f"i-{number:08x}", ZONES[number], number == 0) for number in range(1)]
+    for worker in workers:
+        await store.put("servers", worker.name, worker.entry())
+    answers, sound = [], []
     with tempfile.TemporaryDirectory() as folder:
-        daemons = [Daemon(folder, f"edge-{zone}", zone, ZONES, store.address, cloud.address) for zone in ZONES]
+        daemons = [Daemon(folder, f"edge-{zone}-{number}", zone, ZONES, store.address, cloud.address)
+                   for number in (1, 2) for zone in ZONES]
+
+        async def send(daemon, request, body):
+            return await ask(daemon.front, "POST", "/book/a", {
+                "Host": "h.example", "Attempt-Id": request, "Deadline-Ms": "4000", "Authorization": f"Bearer {KEY}"},
+                body, 5)
+
+        async def send_sound(trial, for_s):
+            end = record.now() + for_s
+            number = 0
+            while record.now() < end:
+                number += 1
+                answer = await send(daemons[number % len(daemons)], f"5{trial:07x}{number:08x}", b"a short body")
+                sound.append(answer is not None and answer[0] == 200 and answer[2] == WHOLE)
+                await asyncio.sleep(1 / SOUND_PER_S)
+
         try:
             for daemon in daemons:
                 await daemon.start(program_path())
@@ -131,29 +152,32 @@
             for number in range(1, TRIALS + 1):
                 request = f"{number:016x}"
                 if TROUBLE:
-                    worker.cut()
-                    record.add("the worker's port is cut off")
+                    for worker in workers:
+                        worker.cut()
+                    record.add(f"the ports of the workers are cut off; only {daemons[0].name} asks for them meanwhile")
                 record.add(f"client sends {request} to {daemons[0].name}")
-                asked = asyncio.create_task(ask(daemons[0].front, "POST", "/book/a", {
-                    "Host": "h.example", "Attempt-Id": request, "Deadline-Ms": "4000",
-                    "Authorization": f"Bearer {KEY}"}, b"b" * 4_000_000, 5))
+                asked = asyncio.create_task(send(daemons[0], request, b"b" * 4_000_000))
                 if TROUBLE:
                     await asyncio.sleep(0.2)
-                    worker.heal()
-                    record.add("the port takes connections again, those of other machines first")
+                    for worker in workers:
+                        worker.heal()
+                    record.add("the ports take connections again, those of other machines first")
                 answer = await asked
                 answers.append(answer)
                 record.add(f"client gets {answer[0] if answer else 'no whole answer'} for {request},"
                            f" {len(answer[2]) if answer else 0} bytes, signature"
                            f" {answer[1].get('instance-signature') if answer else None}")
-                await asyncio.sleep(3)
+                await send_sound(number, 4)
         finally:
             for daemon in daemons:
                 await daemon.end()
-            worker.ended = True
+            for worker in workers:
+                worker.ended = True
     short = [it for it in answers if it and it[0] == 200 and it[2] != WHOLE]
     statuses = [it[0] if it else None for it in answers]
-    text = f"{len(short)} of {len(answers)} clients got a part of the worker's body as a whole answer; answers: {statuses}"
+    text = f"{len(short)} of {len(answers)} clients got a part of the worker's body as a whole answer; answers: {statuses};"
+    text += f" {sum(sound)} of {len(sound)} other requests were served; broken off: {workers[0].broken} of"
+    text += f" {workers[0].answers + workers[0].broken} answers of {workers[0].name}"
     record.add("RESULT " + text)
     print(text)
     for server in [store, cloud]:
