--- a/review/9/case.py
+++ b/review/9/case.py
@@ -10,7 +10,7 @@
 from standins import Cloud, Daemon, Record, Store, ask, main, program_path, wait_until  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ROUNDS = 5
+ROUNDS = 8
 ROUND_S = 6.0
 EVENTS = 20
 ZONES = ["z-a", "z-b", "z-c"]
@@ -88,7 +88,7 @@
             while record.now() < until:
                 number = len(tasks) + 1
                 tasks.append(asyncio.create_task(send_one(record, daemons[number % len(daemons)], number, results)))
-                await asyncio.sleep(1 / 10)
+                await asyncio.sleep(1 / 25)
 
         try:
             for _ in range(6):
