Keep removed servers only after outages that let entries lapse

Callers saw requests at servers whose entry the store had removed up to 2.3 s before, and lost those that ran when the server exited, if the store cut off its waiting watches at that time. It may do so at any moment.

Cause: CollectionFollower took the first answer after any failed call for the end of an outage, and kept what was missing from then on as lapsed. store_lost and store_regained come 0.1 s apart, and the server leaves the list 2.3 s after that. Ruled out: a stale list, and peers that bring the entry back; one instance without peers does the same.

Most entries gone by one answer still count as an outage, now also by a list, but only if the store was silent for two heartbeats, and not by what peers tell.

Changed test: "Items that the store lost while it was away ..." took a failure of 150 ms for an outage, which was the fault. The store is away for 4 s in it now; its checks are the same.

--- a/src/external/CollectionDirectoryTest.cpp
+++ b/src/external/CollectionDirectoryTest.cpp
@@ -52,7 +52,16 @@
         co_return makeError(ErrorCode::NotFound, "the history is gone");
     }
 
+    std::optional<MonotonicTime> lastOutageEnd() const override { return outageEnd; }
+
+    void heal()
+    {
+        cut = false;
+        outageEnd = readMonotonicClock();
+    }
+
     bool cut = false;
+    std::optional<MonotonicTime> outageEnd;
     bool deaf = false; // watches end no more
 
 private:
@@ -143,7 +152,7 @@
         informed.stopReading();
         store.items.emplace("new", "1");
         ++store.revision;
-        reader.view->cut = false;
+        reader.view->heal();
         until([&] { return reader.names() == Names { "new", "stays", "third" }; });
     }
 
--- a/src/external/CollectionFollower.cpp
+++ b/src/external/CollectionFollower.cpp
@@ -1,7 +1,9 @@
 #include "external/CollectionFollower.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
+#include <string_view>
 #include <utility>
 
 #include "lagoonspoke/core/StoreRevision.h"
@@ -63,18 +65,28 @@
 void CollectionFollower::noteAnswer(MonotonicTime now)
 {
     m_retryDelay = {};
-    if (!m_reachable) {
-        m_reachable = true;
-        m_returnedAt = now;
+    m_silence = now - m_answeredAt.value_or(now);
+    m_answeredAt = now;
+    if (!std::exchange(m_reachable, true)) {
         m_actions.emplace_back(CollectionReachable { true });
     }
 }
 
+void CollectionFollower::noteLapses(std::ptrdiff_t removed, MonotonicTime now)
+{
+    bool mostAtOnce = removed >= fewestLapsed
+        && static_cast<double>(removed) >= lapsedFraction * static_cast<double>(m_items.size());
+    if (mostAtOnce && m_silence >= m_options.shortestLapse) {
+        m_returnedAt = now;
+    }
+}
+
 void CollectionFollower::take(CollectionListed listed, MonotonicTime now)
 {
     noteAnswer(now);
     m_startsTurns = true;
     m_listAgainAt = listed.list.isComplete ? std::nullopt : std::optional(now + m_options.incompleteListRetry);
+    noteLapses(std::ssize(findMissing(listed.list)), now);
     replaceItems(std::move(listed.list), {}, now);
     watch(Duration(0), now);
 }
@@ -116,23 +128,34 @@
     return std::exchange(m_startsTurns, false) ? round * place / watchers : round;
 }
 
+std::vector<std::string> CollectionFollower::findMissing(const CollectionList& list) const
+{
+    std::vector<std::string> missing;
+    if (!list.isComplete) {
+        return missing;
+    }
+    std::set<std::string_view> names;
+    for (const auto& item : list.items) {
+        names.insert(item.name);
+    }
+    for (const auto& [name, value] : m_items) {
+        if (!names.contains(name)) {
+            missing.push_back(name);
+        }
+    }
+    return missing;
+}
+
 void CollectionFollower::replaceItems(CollectionList list, const std::vector<CollectionChange>& kept, MonotonicTime now)
 {
     // What was written after the copy that the store was restored from is written again.
     if (m_known && restorationsOf(list.revision) > restorationsOf(m_revision)) {
         m_returnedAt = now;
     }
-    std::set<std::string> names;
+    auto missing = findMissing(list);
     for (auto& item : list.items) {
-        names.insert(item.name);
         put(std::move(item));
     }
-    std::vector<std::string> missing;
-    for (const auto& [name, value] : m_items) {
-        if (list.isComplete && !names.contains(name)) {
-            missing.push_back(name);
-        }
-    }
     for (const auto& name : missing) {
         auto told = std::ranges::find(kept, name, [](const CollectionChange& it) { return it.item.name; });
         remove(name, told == kept.end() ? Duration(0) : told->keptFor, now);
@@ -153,6 +176,9 @@
     noteAnswer(now);
     m_startsTurns = !watched.changes.changes.empty();
     auto pause = m_startsTurns ? m_options.watchPause : Duration(0);
+    noteLapses(std::ranges::count_if(watched.changes.changes,
+                   [&](const CollectionChange& it) { return it.removed && !m_kept.contains(it.item.name); }),
+        now);
     apply(std::move(watched.changes.changes), now);
     m_revision = watched.changes.revision;
     if (m_watches && m_listAgainAt && *m_listAgainAt <= now) {
@@ -177,17 +203,13 @@
     m_retryAt = now + m_retryDelay;
 }
 
+void CollectionFollower::take(const CollectionStoreReturned& returned, MonotonicTime)
+{
+    m_returnedAt = std::max(m_returnedAt.value_or(returned.at), returned.at);
+}
+
 void CollectionFollower::apply(std::vector<CollectionChange> changes, MonotonicTime now)
 {
-    // A store that was silent while a watch waited is not known to have been away. Entries then lapse together.
-    // Peers that tell of changes have judged that themselves.
-    auto removed = std::ranges::count_if(changes, [&](const CollectionChange& it) {
-        return it.removed && it.keptFor == Duration(0) && !m_kept.contains(it.item.name);
-    });
-    if (removed >= fewestLapsed
-        && static_cast<double>(removed) >= lapsedFraction * static_cast<double>(m_items.size())) {
-        m_returnedAt = now;
-    }
     for (auto& change : changes) {
         if (change.removed) {
             remove(change.item.name, change.keptFor, now);
--- a/src/external/CollectionFollower.h
+++ b/src/external/CollectionFollower.h
@@ -22,6 +22,10 @@
 struct CollectionCallFailed {
     Error error;
 };
+// The store is back since then from an outage in which items may have lapsed.
+struct CollectionStoreReturned {
+    MonotonicTime at;
+};
 
 // The collection as a peer knows it.
 struct CollectionHeard {
@@ -41,7 +45,7 @@
 };
 
 using CollectionEvent = std::variant<CollectionListed, CollectionWatched, CollectionHistoryLost, CollectionCallFailed,
-    CollectionHeard, CollectionChangesHeard, CollectionRoleChanged>;
+    CollectionStoreReturned, CollectionHeard, CollectionChangesHeard, CollectionRoleChanged>;
 
 struct ListCollection { };
 struct WatchCollection {
@@ -57,9 +61,9 @@
 
 using CollectionAction = std::variant<ListCollection, WatchCollection, CollectionUpdated, CollectionReachable>;
 
-// Keeps the items of a collection current by a list and watches from then on. Items that were removed while the store
-// was away are kept for a moment after its return, as their writers come back. One call runs at a time. Pure; owned by
-// a CollectionWatcher.
+// Keeps the items of a collection current by a list and watches from then on. Items that may have lapsed in an outage
+// of the store are kept for a moment after its return, as their writers come back. A call that fails is no outage by
+// itself: the store may cut off a watch that waits. One call runs at a time. Pure; owned by a CollectionWatcher.
 class CollectionFollower {
 public:
     struct Options {
@@ -76,6 +80,8 @@
         Duration watchPause {};
         // Items that the store lost while it was away are back within this time of its return, if their writers live.
         Duration returnGrace = std::chrono::milliseconds(2300);
+        // An item lapses no sooner than this after the beginning of an outage.
+        Duration shortestLapse = std::chrono::milliseconds(2400);
         // After an incomplete list. A watch that waits ends first.
         Duration incompleteListRetry = std::chrono::seconds(5);
     };
@@ -106,16 +112,20 @@
     void take(CollectionWatched, MonotonicTime now);
     void take(const CollectionHistoryLost&, MonotonicTime now);
     void take(const CollectionCallFailed&, MonotonicTime now);
+    void take(const CollectionStoreReturned&, MonotonicTime now);
     void take(CollectionHeard, MonotonicTime now);
     void take(CollectionChangesHeard, MonotonicTime now);
     void take(const CollectionRoleChanged&, MonotonicTime now);
     // Whether what peers tell counts; the store's own word counts for more while it can be had.
     bool takesHearsay() const { return !m_watches || !m_reachable || !m_known; }
     void replaceItems(CollectionList, const std::vector<CollectionChange>& kept, MonotonicTime now);
+    std::vector<std::string> findMissing(const CollectionList&) const;
     void noteAnswer(MonotonicTime now);
+    // Takes the removal of most items by one answer of the store for the end of an outage that no call showed.
+    void noteLapses(std::ptrdiff_t removed, MonotonicTime now);
     void apply(std::vector<CollectionChange>, MonotonicTime now);
     void put(CollectionItem);
-    // Removes the item, or keeps it for a moment: as told, or if the store was away here.
+    // Removes the item, or keeps it for a moment: as told, or after an outage of the store.
     void remove(const std::string& name, Duration keptFor, MonotonicTime now);
     void keep(const std::string& name, MonotonicTime until);
     // Begins the next watch, at once or after a pause.
@@ -138,7 +148,9 @@
     bool m_known = false;
     bool m_reachable = true;
     bool m_changed = false;
-    std::optional<MonotonicTime> m_returnedAt; // of the store, after it was away or restored from a copy
+    std::optional<MonotonicTime> m_returnedAt; // of the store, after an outage or restored from a copy
+    std::optional<MonotonicTime> m_answeredAt; // by the store, to a call of this collection
+    Duration m_silence {}; // between the last two of these answers
     std::optional<MonotonicTime> m_retryAt;
     std::optional<MonotonicTime> m_watchAt; // the end of a pause
     std::optional<MonotonicTime> m_listAgainAt; // as the last list was incomplete
--- a/src/external/CollectionFollowerTest.cpp
+++ b/src/external/CollectionFollowerTest.cpp
@@ -82,6 +82,8 @@
     CHECK(kit.names() == Names { "a", "b" });
     kit.advance(150ms);
     CHECK(kit.did<ListCollection>());
+    kit.advance(4s);
+    kit.send(CollectionStoreReturned { kit.now });
     kit.send(CollectionListed { { {}, 20 } });
     CHECK(kit.names() == Names { "a", "b" });
     kit.advance(1s);
@@ -90,6 +92,43 @@
     CHECK(kit.names() == Names { "a" });
 }
 
+// Guards against servers that get requests for seconds after their removal, as the store cut off the watches that
+// waited.
+TEST_CASE("A removal counts at once after calls that failed for a moment")
+{
+    Kit kit;
+    CollectionList list { { { "a", "1" }, { "b", "1" }, { "c", "1" }, { "d", "1" } }, 7 };
+    kit.send(CollectionListed { list });
+    for (auto failures : { 1, 2, 3 }) {
+        kit.advance(2s);
+        for (int i = 0; i < failures; ++i) {
+            kit.send(CollectionCallFailed { away });
+            kit.advance(400ms);
+            REQUIRE(kit.did<ListCollection>());
+        }
+        list.items.pop_back();
+        ++list.revision;
+        kit.send(CollectionListed { list });
+        CHECK(kit.names().size() == list.items.size());
+    }
+}
+
+// Guards against servers that are all taken for gone, because a watch waited through an outage in which their entries
+// lapsed, and was cut off at its end.
+TEST_CASE("Items that a list lacks together are kept if the store was silent for long enough")
+{
+    auto [silence, keeps] = GENERATE(std::pair(Duration(2300ms), false), std::pair(Duration(2400ms), true));
+    Kit kit;
+    kit.send(CollectionListed { { { { "a", "1" }, { "b", "1" }, { "c", "1" } }, 7 } });
+    kit.advance(silence - 100ms);
+    kit.send(CollectionCallFailed { away });
+    kit.advance(100ms);
+    kit.send(CollectionListed { { {}, 20 } });
+    CHECK(kit.names().size() == (keeps ? 3 : 0));
+    kit.advance(2300ms);
+    CHECK(kit.names().empty());
+}
+
 // Guards against a removal that waits although the store was there all the while: the server leaves.
 TEST_CASE("A removal counts at once while the store is there")
 {
--- a/src/external/CollectionWatcher.cpp
+++ b/src/external/CollectionWatcher.cpp
@@ -46,6 +46,15 @@
         }
     }
 
+    // Feeds a reply of the store, and before it what the reply may show: the end of an outage.
+    void feedReply(CollectionEvent event)
+    {
+        if (auto end = collection->lastOutageEnd()) {
+            feed(CollectionStoreReturned { *end });
+        }
+        feed(std::move(event));
+    }
+
     void fail(const Error& error)
     {
         lastError = error.message;
@@ -70,7 +79,7 @@
     {
         auto items = co_await self->collection->list(false);
         if (items) {
-            self->feed(CollectionListed { std::move(*items) });
+            self->feedReply(CollectionListed { std::move(*items) });
         } else {
             self->fail(items.error());
         }
@@ -80,7 +89,7 @@
     {
         auto changes = co_await self->collection->watch(call.revision, call.wait);
         if (changes) {
-            self->feed(CollectionWatched { std::move(*changes) });
+            self->feedReply(CollectionWatched { std::move(*changes) });
         } else if (changes.error().code == ErrorCode::NotFound) {
             LogLine(LogLevel::Info, "history_lost").add("collection", self->name).add("revision", call.revision);
             self->feed(CollectionHistoryLost {});
--- a/src/external/ObjectCollection.h
+++ b/src/external/ObjectCollection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,8 @@
     // Errors as of list(), and NotFound when the store no longer knows what changed since, or was restored from a copy
     // since: list again.
     virtual asio::awaitable<Outcome<CollectionChanges>> watch(std::uint64_t revision, Duration wait) const = 0;
+    // When the latest outage ended in which items may have lapsed although their writers live; nothing without one.
+    virtual std::optional<MonotonicTime> lastOutageEnd() const { return {}; }
 };
 
 using ObjectCollectionPtr = std::shared_ptr<const ObjectCollection>;
--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -72,6 +72,7 @@
     settings.countsUsageAtStart = reader.readBool("counts_usage_at_start", settings.countsUsageAtStart);
     settings.answersIdleTimeout = reader.readBool("answers_idle_timeout", settings.answersIdleTimeout);
     settings.leaseTerm = reader.readMilliseconds("lease_term_ms", 1s, 1min, settings.leaseTerm);
+    settings.serverHeartbeat = reader.readMilliseconds("server_heartbeat_ms", 100ms, 1min, settings.serverHeartbeat);
     settings.capacityHeadroom = reader.readNumber("capacity_headroom", 1, 100, settings.capacityHeadroom);
     settings.pacesRecoveringServers = reader.readBool("paces_recovering_servers", settings.pacesRecoveringServers);
     settings.watchesEvacuations = reader.readBool("watches_evacuations", settings.watchesEvacuations);
--- a/src/settings/DaemonSettings.h
+++ b/src/settings/DaemonSettings.h
@@ -71,6 +71,8 @@
     bool answersIdleTimeout = true;
     // Longest time for which an order may still be on its way, and the term of a lease on them.
     Duration leaseTerm = std::chrono::seconds(10);
+    // At this interval backend servers renew the entries that they keep in the store themselves.
+    Duration serverHeartbeat = std::chrono::milliseconds(1200);
     // Time from the end of a usage window until its report is due.
     Duration usageReportBound = std::chrono::seconds(10);
     // Whether servers that start or recover get their load step by step.
