Tell a reset of a server from its end where a tunnel's write took the error

Callers got a part of an answer as the whole body, with status 200 and the server's signature, from an instance that was cut off from the server and sent a long body through a peer, when the server answered early without a length and reset the connection.

Cause: the kernel reports a reset once. The peer's write of the upload, which waits, took it, and TunnelServer::copyToServer() dropped the error, so that copyToPeer() read an ordinary end and marked it as the server's. A test of the tunnel alone shows it only while an upload fills the buffers, so neither the peer's own end nor the entry's reading is at fault; both have tests that passed.

Change: the tunnel remembers that a write failed and then marks no end. A broken pipe is left out, as it follows the server's own FIN or a reset that was read. After a reset, also one that a read took, what the server sent before is delivered, so that whole answers with a length or in chunks arrive; the tunnel was closed at once before.

--- a/src/daemon/TunnelServer.cpp
+++ b/src/daemon/TunnelServer.cpp
@@ -40,6 +40,8 @@
     }
     tcp::socket peer;
     tcp::socket server;
+    // The kernel reports a reset once. Where a write takes it, reads end as if the server had closed the connection.
+    bool serverReset = false;
 };
 
 TunnelServer::TunnelServer(asio::io_context& io, Callbacks callbacks)
@@ -112,7 +114,9 @@
         if (readError) {
             co_return;
         }
-        co_await asio::async_write(tunnel->server, asio::buffer(buf, n), useTuple);
+        auto [writeError, written] = co_await asio::async_write(tunnel->server, asio::buffer(buf, n), useTuple);
+        // A broken pipe is no reset: the server ended its side before, which a read shows.
+        tunnel->serverReset = tunnel->serverReset || (writeError && writeError != asio::error::broken_pipe);
         // The server may have ended its side; what the other instance still sends is then read and dropped, as closing
         // a connection with unread bytes could destroy what is on its way back.
     }
@@ -123,16 +127,15 @@
     std::array<char, copiedBytes> buf;
     while (true) {
         auto [readError, n] = co_await tunnel->server.async_read_some(asio::buffer(buf), useTuple);
-        if (readError && readError != asio::error::eof) {
-            // Without the empty frame the other instance takes the answer for broken.
-            closeSocket(tunnel->peer);
-            co_return;
-        }
-        auto frame = encodeTunnelFrame({ buf.data(), n });
-        auto [writeError, written] = co_await asio::async_write(tunnel->peer, asio::buffer(frame), useTuple);
-        if (writeError) {
-            closeSocket(tunnel->peer);
-            co_return;
+        // Without the empty frame the other instance takes an answer that has no end of its own for broken.
+        bool isBroken = readError && (readError != asio::error::eof || tunnel->serverReset);
+        if (!isBroken) {
+            auto frame = encodeTunnelFrame({ buf.data(), n });
+            auto [writeError, written] = co_await asio::async_write(tunnel->peer, asio::buffer(frame), useTuple);
+            if (writeError) {
+                closeSocket(tunnel->peer);
+                co_return;
+            }
         }
         if (readError) {
             error_code ec;
--- a/src/daemon/TunnelServerTest.cpp
+++ b/src/daemon/TunnelServerTest.cpp
@@ -53,7 +53,8 @@
         }
     }
 
-    // The server reads one request, sends the text and ends the connection; with a reset if it is to break.
+    // The server reads the beginning of one request, sends the text and ends the connection; with a reset if it is to
+    // break.
     asio::awaitable<void> answerOnce(std::string text, bool breaks)
     {
         auto [ec, socket] = co_await listener.async_accept(useTuple);
@@ -62,8 +63,8 @@
         request.assign(buf.data(), n);
         co_await asio::async_write(socket, asio::buffer(text), useTuple);
         if (breaks) {
-            // What was sent is read before the reset arrives.
-            asio::steady_timer pause(io, 50ms);
+            // What was sent is read before the reset arrives, and an upload fills the buffers.
+            asio::steady_timer pause(io, uploadBytes > 0 ? 300ms : 50ms);
             co_await pause.async_wait(useTuple);
             socket.set_option(asio::socket_base::linger(true, 0));
             socket.close();
@@ -79,7 +80,8 @@
         }
         connection.startRequest();
         std::size_t written = 0;
-        co_await connection.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", "", written, 2s);
+        const std::string upload(uploadBytes, 'u');
+        co_await connection.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", upload, written, 2s);
         error = co_await connection.readHead(false, 2s);
         while (!error) {
             std::string part;
@@ -110,6 +112,7 @@
     std::string address;
     TunnelServer tunnels;
     ServerConnector connector;
+    std::size_t uploadBytes = 0;
     Reach reach = Reach::Unknown;
     std::string request;
     std::string body;
@@ -151,6 +154,62 @@
     CHECK_FALSE(bed.reusable);
 }
 
+// Guards against the same where the reset arrives while the peer writes an upload to the server: the write takes the
+// error, and reads end as if the server had closed the connection.
+TEST_CASE("a reset of a server during an upload shows behind a peer")
+{
+    TunnelBed bed;
+    bed.listener.set_option(asio::socket_base::receive_buffer_size(32 << 10));
+    bed.uploadBytes = 4 << 20;
+    SECTION("after a part of an answer without a length")
+    {
+        bed.run("HTTP/1.1 200 OK\r\n\r\nhello", true);
+        CHECK(bed.body == "hello");
+        CHECK(bed.error);
+    }
+    SECTION("after a part of an answer in chunks")
+    {
+        bed.run("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", true);
+        CHECK(bed.error);
+    }
+    SECTION("before an answer")
+    {
+        bed.run("", true);
+        CHECK(bed.error);
+    }
+    SECTION("a whole answer with a length is delivered")
+    {
+        bed.run("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", true);
+        CHECK(bed.body == "hello");
+        CHECK_FALSE(bed.error);
+    }
+}
+
+// Guards against whole answers that are lost because their server ends the connection before it has read the upload.
+TEST_CASE("an early answer without a length is whole behind a peer if its server ended it")
+{
+    TunnelBed bed;
+    bool done = false;
+    asio::co_spawn(
+        bed.io,
+        [&]() -> asio::awaitable<void> {
+            auto [ec, socket] = co_await bed.listener.async_accept(useTuple);
+            co_await asio::async_write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nhello")), useTuple);
+            error_code ignored;
+            socket.shutdown(tcp::socket::shutdown_send, ignored);
+            asio::steady_timer pause(bed.io, 300ms);
+            co_await pause.async_wait(useTuple);
+        },
+        asio::detached);
+    bed.uploadBytes = 4 << 20;
+    asio::co_spawn(bed.io, bed.call(), [&](const std::exception_ptr&) { done = true; });
+    while (!done) {
+        bed.io.run_one_for(50ms);
+    }
+    CHECK(bed.body == "hello");
+    CHECK_FALSE(bed.error);
+}
+
 // Guards against the same where the peer's process ends: the kernel then closes its connections as if they were done.
 TEST_CASE("an answer without a length is not whole if the peer ends")
 {
