--- /dev/null
+++ b/src/entry/RequestInterruption.cpp
@@ -0,0 +1,121 @@
+// What ends a request or an attempt from outside: stops, the deadline, shutdowns and revoked grants.
+#include "entry/RequestRunner.h"
+
+namespace lagoonspoke {
+
+void RequestRunner::interrupt(RequestEvent event)
+{
+    m_interrupt = std::move(event);
+    switch (m_wait) {
+    case Wait::Grant:
+        m_services.placement.withdraw(m_id);
+        break;
+    case Wait::Backend:
+        m_connection->close();
+        break;
+    case Wait::Caller:
+        if (std::holds_alternative<Stopped>(*m_interrupt)) {
+            m_exchange.cancel();
+        } else if (m_connection) {
+            // The write goes on, so that the caller gets whole events; the backend server is free at once.
+            m_connection->close();
+        }
+        break;
+    case Wait::Nothing:
+        break;
+    }
+}
+
+void RequestRunner::stop(CallerError reason)
+{
+    if (m_concluding) {
+        // The last bytes of a response must not go out for a withdrawn key, however slowly the caller reads.
+        if (reason == CallerError::KeyWithdrawn) {
+            m_interrupt = Stopped { reason };
+            m_exchange.closeAfter();
+            m_exchange.cancel();
+        }
+        return;
+    }
+    if (!m_interrupt || !std::holds_alternative<Stopped>(*m_interrupt)) {
+        interrupt(Stopped { reason });
+    }
+}
+
+void RequestRunner::stopLateWait()
+{
+    if (m_wait == Wait::Grant && !endsBeforeShutdown()) {
+        stop(CallerError::ShuttingDown);
+    }
+}
+
+bool RequestRunner::endsBeforeShutdown() const
+{
+    // A stream that the caller has a part of is worth continuing even if the end cuts it.
+    if (!m_services.requestsEnd || m_machine.callerReached()) {
+        return true;
+    }
+    auto expected = m_services.runTimes.longest(m_request.classSpec->name).value_or(Duration::max());
+    return std::min(expected, remaining()) <= *m_services.requestsEnd - readMonotonicClock();
+}
+
+void RequestRunner::revoke(const Revoke& revoke)
+{
+    bool granting = m_machine.state() == RequestState::AwaitGrant;
+    bool preempted = revoke.reason == RevokeReason::Preempted;
+    if (m_concluding || m_interrupt) {
+        return;
+    }
+    if (!granting && !(preempted ? m_machine.canMove() : m_machine.canMoveUnsent())) {
+        if (!preempted) {
+            m_machine.handle(GrantEnded {});
+        }
+        return;
+    }
+    auto cause = preempted ? AttemptFailure::Preempted : AttemptFailure::ServerLeaving;
+    if (granting) {
+        // The grant has arrived and the coroutine is about to take it up.
+        m_interrupt = AttemptFailed { cause, false };
+    } else {
+        interrupt(AttemptFailed { cause });
+    }
+}
+
+RequestEvent RequestRunner::chooseEvent(RequestEvent event)
+{
+    if (!m_interrupt) {
+        return event;
+    }
+    auto interrupt = std::move(*m_interrupt);
+    m_interrupt.reset();
+    bool revoked = std::holds_alternative<AttemptFailed>(interrupt);
+    if (revoked && (std::holds_alternative<AnswerCompleted>(event) || std::holds_alternative<Stopped>(event))) {
+        return event;
+    }
+    if (std::holds_alternative<Granted>(event)) {
+        m_machine.handle(event);
+    }
+    return interrupt;
+}
+
+void RequestRunner::startDeadline()
+{
+    m_deadline.expires_after(m_request.deadline - (readMonotonicClock() - m_arrival));
+    m_deadline.async_wait([self = m_self](error_code ec) {
+        // A response that has started is bounded by the time between its tokens instead.
+        if (!ec && *self && !(*self)->m_machine.callerReached()) {
+            (*self)->stop(CallerError::DeadlinePassed);
+        }
+    });
+}
+
+void RequestRunner::watchCaller()
+{
+    m_watch.emplace(m_exchange.socket(), [self = m_self] {
+        if (*self) {
+            (*self)->stop(CallerError::CallerLeft);
+        }
+    });
+}
+
+} // namespace lagoonspoke
