Let a revocation pass a request whose server is being checked

The log had request_finished with code=ok for them, after attempt_failed with cause=broken and cause=preempted.

Cause: after a connection broke, checkServer() asks for up to 400 ms whether the server takes another one. A revocation that arrived meanwhile was kept as an interruption of an attempt that had ended already. The machine handled the broken connection and asked for another grant; askForGrant() saw the interruption and gave a refusal, and chooseEvent() put the revocation in its place. AwaitGrant has no transition for AttemptFailed, so there were no actions, and run() concluded the request although its caller had no end.

Change: revoke() stores no interruption while the server is checked. Why this works: a revocation asks an attempt to end, and this one has; its grant is given back after the check in any case.

--- a/src/entry/AnswerRelay.h
+++ b/src/entry/AnswerRelay.h
@@ -19,6 +19,7 @@
     Grant,
     Backend,
     Caller,
+    ServerCheck, // whether a server goes on whose connection has ended
 };
 
 // Learns of the progress of an answer. Implemented by the request's runner.
--- a/src/entry/CallerServiceFixture.h
+++ b/src/entry/CallerServiceFixture.h
@@ -49,6 +49,8 @@
 struct Reset { };
 // Takes no connection any more, then closes this one.
 struct Crash { };
+// Ends this connection; connections to the server hang from now on, like those to a machine without power.
+struct GoSilent { };
 // Waits until the other side closes.
 struct Hold { };
 struct Work {
@@ -60,7 +62,7 @@
     Duration pause {}; // between two texts
 };
 constexpr std::size_t mostFlooded = 64 << 20;
-using Step = std::variant<Send, Close, Reset, Crash, Hold, Work, Flood>;
+using Step = std::variant<Send, Close, Reset, Crash, GoSilent, Hold, Work, Flood>;
 
 // Answers the n-th request that it receives with the n-th script; without a script it closes the connection.
 class ScriptedBackend {
@@ -74,7 +76,20 @@
     std::string address() { return formatEndpoint(m_acceptor.local_endpoint()); }
     void add(std::vector<Step> script) { m_scripts.push_back(std::move(script)); }
     void clear() { m_scripts.clear(); }
+    // Connections to the server hang from now on: nobody takes them, and their queue is full.
+    void goSilent()
+    {
+        m_acceptor.cancel();
+        ::listen(m_acceptor.native_handle(), 0);
+        constexpr int queueLength = 4; // one fits, the others are in doubt
+        for (int i = 0; i < queueLength; ++i) {
+            auto& socket = m_queue.emplace_back(m_acceptor.get_executor());
+            socket.async_connect(m_acceptor.local_endpoint(), [](error_code) {});
+        }
+        isSilent = true;
+    }
 
+    bool isSilent = false;
     std::vector<std::string> requests;
     int connections = 0;
     std::size_t flooded = 0; // bytes that the router, or the buffers between, took of floods
@@ -83,7 +98,7 @@
 private:
     asio::awaitable<void> accept()
     {
-        while (true) {
+        while (!isSilent) {
             auto [ec, socket] = co_await m_acceptor.async_accept(useTuple);
             if (ec) {
                 co_return;
@@ -129,6 +144,9 @@
             } else if (std::holds_alternative<Crash>(step)) {
                 m_acceptor.close();
                 co_return false;
+            } else if (std::holds_alternative<GoSilent>(step)) {
+                goSilent();
+                co_return false;
             } else if (std::holds_alternative<Reset>(step)) {
                 asio::steady_timer timer(m_acceptor.get_executor(), std::chrono::milliseconds(10));
                 co_await timer.async_wait(useTuple);
@@ -171,6 +189,7 @@
     }
 
     tcp::acceptor m_acceptor;
+    std::deque<tcp::socket> m_queue; // of connections that nobody takes
     std::deque<std::vector<Step>> m_scripts;
 };
 
@@ -280,7 +299,7 @@
 // One traffic thread's service with callers and backend servers, all on one event loop.
 struct Fixture {
     asio::io_context io;
-    OwnDialect dialect;
+    OwnDialect ownDialect;
     DaemonSettings settings;
     prometheus::Registry registry;
     RequestMetrics metrics { registry };
@@ -295,13 +314,15 @@
     std::unique_ptr<CallerService> service;
     std::unique_ptr<HttpServer> server;
 
-    explicit Fixture(std::function<void(DaemonSettings&)> change = {})
+    // Without a dialect, callers speak the product's own one.
+    explicit Fixture(std::function<void(DaemonSettings&)> change = {}, const CallerDialect* dialect = nullptr)
     {
         settings.region = RegionId("r");
         if (change) {
             change(settings);
         }
-        service = std::make_unique<CallerService>(io.get_executor(), dialect, settings, placement, metrics, "t");
+        service = std::make_unique<CallerService>(
+            io.get_executor(), dialect ? *dialect : ownDialect, settings, placement, metrics, "t");
         service->applySnapshot(makeSnapshot(true));
         HttpServer::Options options;
         options.limits.maxHeaderBytes = static_cast<std::size_t>(settings.maxHeaderBytes);
--- /dev/null
+++ b/src/entry/InterruptionTest.cpp
@@ -0,0 +1,56 @@
+// Requests whose grant is revoked, or that are stopped, at each place where they may wait.
+#include "entry/CallerServiceFixture.h"
+
+namespace lagoonspoke::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string streamEnd = "0\r\n\r\n";
+const std::string restOfStream = token("b") + chunk("data: [DONE]\n\n") + streamEnd;
+
+asio::awaitable<void> pause(Fixture& f, Duration time)
+{
+    asio::steady_timer timer(f.io, time);
+    co_await timer.async_wait(useTuple);
+}
+
+// What the caller receives up to the text, the end of the connection or the end of its patience.
+asio::awaitable<std::string> read(Fixture& f, RawCaller& caller, std::string text)
+{
+    asio::steady_timer patience(f.io, 5s);
+    patience.async_wait([&](error_code ec) {
+        if (!ec) {
+            caller.close();
+        }
+    });
+    co_return co_await caller.readUntil(std::move(text));
+}
+
+} // namespace
+
+// Guards against a stream that is forgotten, neither ended nor cut, when its grant is revoked while the entry checks
+// whether the server of its broken connection has died.
+TEST_CASE("a stream whose grant is preempted during the check of its server goes on")
+{
+    Fixture f;
+    f.first.add({ Send { std::string(streamHead) }, Send { token("a") }, GoSilent {} });
+    f.second.add({ Send { std::string(streamHead) }, Send { restOfStream } });
+    std::string response;
+    f.run([&]() -> asio::awaitable<void> {
+        RawCaller caller(f.io);
+        co_await caller.connect(f.server->endpoint());
+        co_await caller.send(completion("", streamBody));
+        co_await f.until([&] { return f.first.isSilent; });
+        co_await pause(f, 50ms);
+        f.placement.deliver(Revoke { f.grants[0].request, f.grants[0].grant, RevokeReason::Preempted });
+        response = co_await read(f, caller, streamEnd);
+    });
+    CHECK(contains(response, "\"b\""));
+    CHECK(endsComplete(response));
+    REQUIRE(f.finished.size() == 2);
+    CHECK(f.finished[0].outcome == FinishOutcome::ServerDied);
+}
+
+} // namespace lagoonspoke::testing
--- a/src/entry/RequestInterruption.cpp
+++ b/src/entry/RequestInterruption.cpp
@@ -21,6 +21,7 @@
             m_connection->close();
         }
         break;
+    case Wait::ServerCheck:
     case Wait::Nothing:
         break;
     }
@@ -66,7 +67,9 @@
     if (m_concluding || m_interrupt) {
         return;
     }
-    if (!granting && !(preempted ? m_machine.canMove() : m_machine.canMoveUnsent())) {
+    // During a check of the server the attempt has ended, and its result decides how the request goes on.
+    bool canMove = preempted ? m_machine.canMove() : m_machine.canMoveUnsent();
+    if (!granting && (!canMove || m_wait == Wait::ServerCheck)) {
         if (!preempted) {
             m_machine.handle(GrantEnded {});
         }
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -85,7 +85,9 @@
 
 asio::awaitable<void> RequestRunner::checkServer(AttemptFailed& failed)
 {
+    m_wait = Wait::ServerCheck;
     auto reach = co_await m_services.connector.check(m_grant->address, deathCheckBound());
+    m_wait = Wait::Nothing;
     failed.serverAccepts = reach == Reach::Direct;
     failed.cutOff = reach == Reach::ThroughPeer || reach == Reach::Unknown;
 }
