Drop the revocation of a grant that is given back

Callers of streams that may be taken up got no answer, on an open connection, if the grant of their request was revoked and then given back unused, as the store could not note the software version that begins the stream. The log had request_finished with code=ok.

Cause: askForGrant() gave the grant back and returned a refusal, and chooseEvent() put the stored revocation in its place. Change: releaseGrant() drops a stored revocation, as no grant is left that it could take back.

Evidence: "a request is refused whose grant is revoked before it has to be given back" got no answer in 5 s on, for both reasons of revocations, and passes now.

--- a/src/entry/InterruptionTest.cpp
+++ b/src/entry/InterruptionTest.cpp
@@ -29,6 +29,60 @@
     co_return co_await caller.readUntil(std::move(text));
 }
 
+// Callers name their requests, as on platforms where they may take streams up.
+class NamingDialect final : public CallerDialect {
+public:
+    tl::expected<AdmittedRequest, CallerError> admitHead(
+        const ConfigurationSnapshot& snapshot, const CallerHead& head) const override
+    {
+        auto request = m_own.admitHead(snapshot, head);
+        if (request) {
+            request->callerId = "named";
+        }
+        return request;
+    }
+    tl::expected<void, CallerError> admitBody(
+        const ConfigurationSnapshot& snapshot, AdmittedRequest& request, std::string_view body) const override
+    {
+        return m_own.admitBody(snapshot, request, body);
+    }
+    std::string formatBackendHead(const AdmittedRequest& request, const BackendHead& head) const override
+    {
+        return m_own.formatBackendHead(request, head);
+    }
+    BackendAnswer readAnswer(const http::response_header<>& head) const override { return m_own.readAnswer(head); }
+    CallerErrorAnswer formatError(const CallerErrorReport& report) const override { return m_own.formatError(report); }
+
+private:
+    OwnDialect m_own;
+};
+
+// Takes a time to note where a stream begins.
+class SlowOrigins final : public StreamOrigins {
+public:
+    SlowOrigins(asio::io_context& io, Duration time, bool isNoted)
+        : m_io(io)
+        , m_time(time)
+        , m_isNoted(isNoted)
+    {
+    }
+    asio::awaitable<bool> noteGranted(std::string, TargetName, SoftwareVersion, Duration) override
+    {
+        isNoting = true;
+        asio::steady_timer timer(m_io, m_time);
+        co_await timer.async_wait(useTuple);
+        co_return m_isNoted;
+    }
+    asio::awaitable<StreamOrigin> find(std::string, TargetName, Duration) override { co_return StreamOrigin {}; }
+
+    bool isNoting = false;
+
+private:
+    asio::io_context& m_io;
+    Duration m_time;
+    bool m_isNoted;
+};
+
 } // namespace
 
 // Guards against a stream that is forgotten, neither ended nor cut, when its grant is revoked while the entry checks
@@ -76,4 +130,28 @@
     CHECK(f.finished[0].outcome == FinishOutcome::ServerDied);
 }
 
+// Guards against a request that is forgotten when its grant is revoked and then given back unused, as the beginning of
+// its stream could not be noted.
+TEST_CASE("a request is refused whose grant is revoked before it has to be given back")
+{
+    NamingDialect dialect;
+    Fixture f({}, &dialect);
+    auto origins = std::make_shared<SlowOrigins>(f.io, 200ms, false);
+    f.service->setStreamOrigins(origins);
+    auto reason = GENERATE(RevokeReason::Preempted, RevokeReason::ServerLeaving);
+    std::string response;
+    f.run([&]() -> asio::awaitable<void> {
+        RawCaller caller(f.io);
+        co_await caller.connect(f.server->endpoint());
+        co_await caller.send(completion("connection: close\r\n", streamBody));
+        co_await f.until([&] { return origins->isNoting; });
+        f.placement.deliver(Revoke { f.grants[0].request, f.grants[0].grant, reason });
+        response = co_await read(f, caller, streamEnd);
+    });
+    CHECK(contains(response, "\"code\":\"overloaded\""));
+    CHECK(contains(response, "\"run\":\"not-run\""));
+    REQUIRE(f.finished.size() == 1);
+    CHECK(f.finished[0].outcome == FinishOutcome::Aborted);
+}
+
 } // namespace lagoonspoke::testing
--- a/src/entry/RequestConclusion.cpp
+++ b/src/entry/RequestConclusion.cpp
@@ -76,6 +76,10 @@
     progress.promptTokens = m_relay.tokens().prompt().value_or(m_request.promptTokens);
     m_services.placement.report(progress);
     m_grant.reset();
+    // A revocation of the grant has nothing left to stop.
+    if (m_interrupt && std::holds_alternative<AttemptFailed>(*m_interrupt)) {
+        m_interrupt.reset();
+    }
     if (outcome == FinishOutcome::Completed) {
         m_services.runTimes.add(m_request.classSpec->name, readMonotonicClock() - m_attemptStart);
     }
