Test requests that are interrupted at each place where they wait

Seven places where the coroutine of a request waits, five interruptions: the caller gets a whole answer, or one that ends with the code of the interruption, and every grant is given back.

--- a/src/entry/InterruptionTest.cpp
+++ b/src/entry/InterruptionTest.cpp
@@ -83,6 +83,68 @@
     bool m_isNoted;
 };
 
+// Where a request may wait.
+struct Place {
+    std::string name;
+    std::string body;
+    std::function<void(Fixture&)> prepare;
+    std::function<bool(Fixture&, const SlowOrigins&)> isReached;
+    Duration noteTime {}; // of the stream's origin
+};
+
+std::vector<Place> places()
+{
+    Send begin { std::string(streamHead) + token("a") };
+    auto isAsked = [](Fixture& f, const SlowOrigins&) { return f.first.requests.size() == 1; };
+    auto isSilent = [](Fixture& f, const SlowOrigins&) { return f.first.isSilent; };
+    auto give = [](std::vector<Step> script) { return [=](Fixture& f) { f.first.add(script); }; };
+    return {
+        { "the grant", std::string(streamBody), [](Fixture& f) { f.granting = false; },
+            [](Fixture& f, const SlowOrigins&) { return f.placed.size() == 1; } },
+        { "the note of the stream's origin", std::string(streamBody), [](Fixture&) {},
+            [](Fixture&, const SlowOrigins& origins) { return origins.isNoting; }, 200ms },
+        { "the connection", std::string(streamBody), [](Fixture& f) { f.first.goSilent(); },
+            [](Fixture& f, const SlowOrigins&) { return f.grants.size() == 1; } },
+        { "the head of the answer", std::string(streamBody), give({ Work { 150ms }, Close {} }), isAsked },
+        { "events", std::string(streamBody), give({ begin, Work { 150ms }, Close {} }), isAsked },
+        { "the check of the server", std::string(streamBody), give({ begin, GoSilent {} }), isSilent },
+        { "the confirmation of the end", std::string(plainBody), give({ Send { unframedHead + "{}" }, GoSilent {} }),
+            isSilent },
+    };
+}
+
+// What happens meanwhile.
+struct Interruption {
+    std::string name;
+    std::function<void(Fixture&, RawCaller&)> happen;
+    std::string code; // that the caller gets; empty where the request goes on
+};
+
+void revokeFirst(Fixture& f, RevokeReason reason)
+{
+    if (f.grants.empty()) {
+        f.placement.deliver(f.decide(f.placed[0]));
+    }
+    f.placement.deliver(Revoke { f.grants[0].request, f.grants[0].grant, reason });
+}
+
+std::vector<Interruption> interruptions()
+{
+    return {
+        { "preempted", [](Fixture& f, RawCaller&) { revokeFirst(f, RevokeReason::Preempted); }, "" },
+        { "server leaving", [](Fixture& f, RawCaller&) { revokeFirst(f, RevokeReason::ServerLeaving); }, "" },
+        { "key withdrawn", [](Fixture& f, RawCaller&) { f.service->applySnapshot(Fixture::makeSnapshot(false)); },
+            "key_withdrawn" },
+        { "shutdown",
+            [](Fixture& f, RawCaller&) {
+                f.service->setRequestsEnd(readMonotonicClock());
+                f.service->endLateRequests();
+            },
+            "shutting_down" },
+        { "caller left", [](Fixture&, RawCaller& caller) { caller.close(); }, "" },
+    };
+}
+
 } // namespace
 
 // Guards against a stream that is forgotten, neither ended nor cut, when its grant is revoked while the entry checks
@@ -108,6 +170,48 @@
     CHECK(f.finished[0].outcome == FinishOutcome::ServerDied);
 }
 
+// Guards against a request that is forgotten, or keeps its grant, as it is interrupted where it waits for none of its
+// caller, its server and a grant.
+TEST_CASE("a request ends or goes on wherever it is interrupted")
+{
+    for (const auto& place : places()) {
+        for (const auto& interruption : interruptions()) {
+            INFO(interruption.name << " while it waits for " << place.name);
+            NamingDialect dialect;
+            Fixture f([](DaemonSettings& settings) { settings.acceptsUnframedAnswers = true; }, &dialect);
+            auto origins = std::make_shared<SlowOrigins>(f.io, place.noteTime, true);
+            f.service->setStreamOrigins(origins);
+            place.prepare(f);
+            bool isStream = place.body == streamBody;
+            auto whole = isStream ? std::string(streamHead) + restOfStream : wholeAnswer("whole");
+            f.first.add({ Send { whole } });
+            f.second.add({ Send { whole } });
+            std::string response;
+            f.run([&]() -> asio::awaitable<void> {
+                RawCaller caller(f.io);
+                co_await caller.connect(f.server->endpoint());
+                co_await caller.send(completion("connection: close\r\n", place.body));
+                co_await f.until([&] { return place.isReached(f, *origins); });
+                co_await pause(f, 50ms);
+                interruption.happen(f, caller);
+                f.granting = true;
+                response = co_await read(f, caller, {});
+                auto end = readMonotonicClock() + 5s;
+                co_await f.until([&] {
+                    auto ended = f.finished.size() + f.withdrawn.size();
+                    return ended == f.placed.size() || readMonotonicClock() >= end;
+                });
+            });
+            CHECK(f.finished.size() + f.withdrawn.size() == f.placed.size());
+            if (interruption.name != "caller left") {
+                bool isWhole = contains(response, isStream ? "data: [DONE]" : "whole");
+                CHECK(isWhole == interruption.code.empty());
+                CHECK(contains(response, interruption.code));
+            }
+        }
+    }
+}
+
 // Guards against the death of a server that is not reported, as the grant is revoked while the end of its answer is
 // confirmed.
 TEST_CASE("a revocation while the end of an answer is confirmed does not hide that the server died")
