End a request with an error when no transition takes an event

Callers whose request met an event that its state does not expect got no answer, on an open connection, and the log said code=ok: run() ends where there are no actions, which meant "the response is complete" as well as "no transition takes this event".

Change: RequestMachine::handle() logs such an event (request_event_unexpected) and ends the request with internal_error: 500, or 503 where it has not run on platforms that promise so, or a cut stream. Only the notes CallerReached and GrantEnded may change nothing.

--- a/src/entry/RequestConclusion.cpp
+++ b/src/entry/RequestConclusion.cpp
@@ -109,6 +109,17 @@
         .add("remaining_ms", toMilliseconds(remaining()));
 }
 
+void RequestRunner::logUnexpectedEvent(const ReportUnexpectedEvent& unexpected) const
+{
+    LogLine(LogLevel::Error, "request_event_unexpected")
+        .add("request", m_id.value())
+        .add("caller_id", m_request.callerId)
+        .add("attempt", m_machine.attempts())
+        .add("server", m_server.value())
+        .add("state", toString(unexpected.state))
+        .add("unexpected", unexpected.event);
+}
+
 bool RequestRunner::mayHaveBegun() const
 {
     return m_firstByteReported || readMonotonicClock() - m_sent >= shortestRun;
--- a/src/entry/RequestMachine.cpp
+++ b/src/entry/RequestMachine.cpp
@@ -313,7 +313,7 @@
               a_row<Send, Stopped, Finish, &D::stop>, a_row<AwaitFirstByte, Stopped, Finish, &D::stop>,
               a_row<Stream, Stopped, Finish, &D::stop>> { };
 
-    // Events that no longer matter, such as a revocation of an attempt that just ended.
+    // RequestMachine::handle() ends the request if it would wait for nothing else.
     template <typename Machine, typename Event> void no_transition(const Event&, Machine&, int) { }
 
     RequestState m_state = RequestState::ReadHead;
@@ -352,6 +352,11 @@
 {
     m_impl->m_actions.clear();
     std::visit([this](const auto& it) { m_impl->process_event(it); }, event);
+    bool isNote = std::holds_alternative<CallerReached>(event) || std::holds_alternative<GrantEnded>(event);
+    if (m_impl->m_actions.empty() && !isNote && m_impl->m_state != RequestState::Finish) {
+        m_impl->act(ReportUnexpectedEvent { m_impl->m_state, nameOf(event) });
+        m_impl->process_event(Stopped { CallerError::InternalError });
+    }
     return std::move(m_impl->m_actions);
 }
 
@@ -391,23 +396,4 @@
     return m_impl->m_attempts;
 }
 
-std::string_view toString(AttemptFailure cause)
-{
-    switch (cause) {
-    case AttemptFailure::Unreachable:
-        return "unreachable";
-    case AttemptFailure::Broken:
-        return "broken";
-    case AttemptFailure::TimedOut:
-        return "timed_out";
-    case AttemptFailure::Protocol:
-        return "protocol";
-    case AttemptFailure::Preempted:
-        return "preempted";
-    case AttemptFailure::ServerLeaving:
-        break;
-    }
-    return "server_leaving";
-}
-
 } // namespace lagoonspoke
--- a/src/entry/RequestMachine.h
+++ b/src/entry/RequestMachine.h
@@ -23,6 +23,8 @@
     Finish,
 };
 
+std::string_view toString(RequestState);
+
 enum class AttemptFailure {
     Unreachable, // no connection
     Broken, // the connection broke, or the answer is truncated
@@ -88,6 +90,8 @@
 using RequestEvent = std::variant<HeadRead, Authenticated, BodyRead, Granted, PlacementRefused, Connected, RequestSent,
     AnswerStarted, CallerReached, AnswerCompleted, AttemptFailed, GrantEnded, Stopped>;
 
+std::string_view nameOf(const RequestEvent&);
+
 struct DoAuthenticate { };
 struct DoReadBody { };
 struct AskForGrant {
@@ -123,9 +127,14 @@
     CallerError code;
     RunStatus run;
 };
+// Logs an event that cannot happen in the state, which is a fault of the router. The actions after it end the request.
+struct ReportUnexpectedEvent {
+    RequestState state;
+    std::string_view event;
+};
 
 using RequestAction = std::variant<DoAuthenticate, DoReadBody, AskForGrant, OpenConnection, SendRequest, AwaitAnswer,
-    RelayAnswer, ReleaseGrant, FinishAnswer, Refuse, CutAnswer, DropCaller>;
+    RelayAnswer, ReleaseGrant, FinishAnswer, Refuse, CutAnswer, DropCaller, ReportUnexpectedEvent>;
 
 // Decides the steps of one request, from its head to the end of its answer: attempts, retries, resumption and what the
 // caller is told. Pure: no sockets, no clock. Owned by the coroutine that runs the request. Of the actions of one
@@ -137,6 +146,8 @@
     RequestMachine(const RequestMachine&) = delete;
     RequestMachine& operator=(const RequestMachine&) = delete;
 
+    // Every event but CallerReached and GrantEnded gives actions until the request has ended; one that no transition
+    // takes ends it with CallerError::InternalError.
     std::vector<RequestAction> handle(const RequestEvent&);
 
     RequestState state() const;
--- a/src/entry/RequestMachineTest.cpp
+++ b/src/entry/RequestMachineTest.cpp
@@ -1,5 +1,7 @@
 #include "entry/RequestMachine.h"
 
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 namespace lagoonspoke {
@@ -324,4 +326,70 @@
     }
 }
 
+// Guards against a request that is concluded without an answer, as no transition takes an event of its attempt.
+TEST_CASE("every event in every state leads on, or ends the request with an answer")
+{
+    RetryBudget budget;
+    const RequestEvent head = HeadRead {};
+    const RequestEvent admitted = Authenticated {};
+    const RequestEvent body = BodyRead { true, true, &budget };
+    const RequestEvent granted = Granted { BackendServerId("a") };
+    const RequestEvent refused = PlacementRefused { RefusalCode::Overloaded };
+    const RequestEvent connected = Connected { true };
+    const RequestEvent sent = RequestSent {};
+    const RequestEvent started = AnswerStarted {};
+    const RequestEvent notRun = AnswerStarted { 503, true };
+    const RequestEvent completed = AnswerCompleted {};
+    const RequestEvent broken = AttemptFailed { AttemptFailure::Broken };
+    const RequestEvent preempted = AttemptFailed { AttemptFailure::Preempted };
+    const RequestEvent leaving = AttemptFailed { AttemptFailure::ServerLeaving };
+    const RequestEvent stopped = Stopped { CallerError::DeadlinePassed };
+    const std::vector steps { head, admitted, body, granted, connected, sent, started, completed };
+    const std::vector events { head, admitted, body, granted, refused, connected, sent, started, notRun, completed,
+        broken, preempted, leaving, stopped };
+    // What each state expects besides a stop; the states in the order of the steps that lead to them.
+    const std::vector<std::vector<RequestEvent>> expected { { head }, { admitted }, { body }, { granted, refused },
+        { connected, broken, preempted, leaving }, { sent, broken, preempted, leaving },
+        { started, notRun, broken, preempted, leaving }, { completed, broken, preempted, leaving }, {} };
+    for (std::size_t state = 0; state < expected.size(); ++state) {
+        for (const auto& event : events) {
+            Paper paper;
+            for (std::size_t i = 0; i < state; ++i) {
+                paper.post(steps[i]);
+            }
+            auto before = paper.machine.state();
+            INFO(toString(before) << ", " << nameOf(event));
+            REQUIRE(static_cast<std::size_t>(before) == state);
+            paper.post(event);
+            bool hasEnded = before == RequestState::Finish;
+            CHECK(paper.last.empty() == hasEnded);
+            auto isEvent = [&](const RequestEvent& it) { return nameOf(it) == nameOf(event); };
+            bool isExpected = hasEnded || isEvent(stopped) || std::ranges::any_of(expected[state], isEvent);
+            CHECK((paper.find<ReportUnexpectedEvent>() == nullptr) == isExpected);
+            if (!isExpected) {
+                REQUIRE(paper.find<Refuse>());
+                CHECK(paper.find<Refuse>()->code == CallerError::InternalError);
+                CHECK(paper.find<Refuse>()->run
+                    == (before > RequestState::Connect ? RunStatus::Unknown : RunStatus::NotRun));
+                CHECK(paper.machine.state() == RequestState::Finish);
+            }
+        }
+    }
+}
+
+// Guards against a part of a stream that is left without an end.
+TEST_CASE("a stream that an unexpected event ends is cut, and its grant given back")
+{
+    Paper paper;
+    paper.admit(true, true);
+    paper.stream("a");
+    paper.post(AttemptFailed { AttemptFailure::Broken });
+    REQUIRE(paper.find<AskForGrant>());
+    paper.post(AttemptFailed { AttemptFailure::Preempted });
+    REQUIRE(paper.find<CutAnswer>());
+    CHECK(paper.find<CutAnswer>()->code == CallerError::InternalError);
+    CHECK(paper.find<CutAnswer>()->run == RunStatus::Unknown);
+    CHECK(paper.find<ReleaseGrant>());
+}
+
 } // namespace lagoonspoke
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -116,6 +116,10 @@
                               m_run = it.run;
                               return nothing();
                           },
+                          [&](ReportUnexpectedEvent it) {
+                              logUnexpectedEvent(it);
+                              return nothing();
+                          },
                       },
         action);
 }
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -94,6 +94,7 @@
     asio::awaitable<void> respondModels();
     void releaseGrant(FinishOutcome);
     void logFailedAttempt(const AttemptFailed&) const;
+    void logUnexpectedEvent(const ReportUnexpectedEvent&) const;
     Duration deathCheckBound() const;
     // Finds out whether the granted server takes a new connection, as a process that has died does not.
     asio::awaitable<void> checkServer(AttemptFailed&);
--- a/src/http/CallerError.cpp
+++ b/src/http/CallerError.cpp
@@ -55,6 +55,7 @@
     Entry { CallerError::BackendFailed, "backend_failed", 502, "the connection to the backend server broke" },
     Entry { CallerError::BackendTimeout, "backend_timeout", 504, "the backend server made no progress in time" },
     Entry { CallerError::BackendProtocol, "backend_protocol", 502, "the backend server's response was not usable" },
+    Entry { CallerError::InternalError, "internal_error", 500, "the request ended by a fault of the router" },
     Entry { CallerError::CallerLeft, "caller_left", 499, "the caller closed the connection" },
     Entry { CallerError::CallerStalled, "caller_stalled", 499, "the caller did not read the response in time" },
 };
--- a/src/http/CallerError.h
+++ b/src/http/CallerError.h
@@ -42,6 +42,7 @@
     BackendFailed,
     BackendTimeout,
     BackendProtocol,
+    InternalError,
     CallerLeft, // log and metrics only
     CallerStalled, // log and metrics only
 };
