Close connections whose handler ends without a whole response

Callers of a request that the router forgot waited on an open connection: HttpExchange says that a response in chunks without its last chunk closes the connection, but nothing did that; each handler had to remember closeAfter().

Change: HttpExchange knows whether the response is whole, by its last chunk, its length or its kind, and the session keeps the connection only then.

--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -1,5 +1,7 @@
 #include "http/HttpExchange.h"
 
+#include <algorithm>
+
 #include <absl/strings/ascii.h>
 #include <fmt/format.h>
 
@@ -158,7 +160,6 @@
         response.insert(name, value);
     }
     response.keep_alive(keepAlive());
-    m_responseStarted = true;
 }
 
 template <typename Buffers> asio::awaitable<error_code> HttpExchange::write(Buffers buffers)
@@ -200,6 +201,7 @@
         m_keepAlive = false;
         m_broken = true;
     }
+    m_responseComplete = !ec;
     co_return ec;
 }
 
@@ -221,11 +223,15 @@
     if (!hasNoBody) {
         response.content_length(length);
     }
+    m_bodyLeft = hasNoBody || isHead() ? 0 : length;
+    m_responseComplete = m_bodyLeft == 0;
     co_return co_await writeHead(response);
 }
 
 asio::awaitable<error_code> HttpExchange::writeBytes(std::string_view data)
 {
+    m_bodyLeft -= std::min<std::uint64_t>(m_bodyLeft, data.size());
+    m_responseComplete = m_bodyLeft == 0;
     return write(asio::buffer(data));
 }
 
@@ -236,6 +242,7 @@
 
 asio::awaitable<error_code> HttpExchange::finishStream()
 {
+    m_responseComplete = true;
     return write(http::make_chunk_last());
 }
 
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -49,7 +49,8 @@
 asio::awaitable<std::pair<error_code, std::size_t>> readStep(HttpConnection&, RequestParser&);
 
 // One request of a connection and the response to it. Owned by HttpServer's session for the time of its handler.
-// Every operation is bounded by the limits; after an error the connection closes when the handler returns.
+// Every operation is bounded by the limits; after an error, or without a whole response, the connection closes when the
+// handler returns.
 class HttpExchange {
 public:
     struct Limits {
@@ -94,15 +95,15 @@
     asio::awaitable<error_code> finishStream();
 
     // A response of known length, followed by calls of writeBytes() that give exactly that many bytes. When fewer are
-    // written, closeAfter() must be called, so that the caller sees a truncated response.
+    // written, the connection closes and the caller sees a truncated response.
     asio::awaitable<error_code> startSized(
         http::status, std::string_view contentType, std::uint64_t length, const HeaderList& headers = {});
     asio::awaitable<error_code> writeBytes(std::string_view data);
 
     // Closes the connection when the handler returns.
     void closeAfter() { m_keepAlive = false; }
-    bool keepAlive() const { return m_keepAlive && !m_serverClosing; }
-    bool responseStarted() const { return m_responseStarted; }
+    // Whether the connection can carry another request.
+    bool isReusable() const { return keepAlive() && m_responseComplete; }
     // Whether a write failed; nothing more can be sent.
     bool broken() const { return m_broken; }
     bool isHead() const { return request().method() == http::verb::head; }
@@ -112,6 +113,7 @@
     tcp::socket& socket() { return m_connection.stream.socket(); }
 
 private:
+    bool keepAlive() const { return m_keepAlive && !m_serverClosing; }
     template <typename Response> void fillHead(Response&, std::string_view contentType, const HeaderList&);
     asio::awaitable<error_code> writeHead(http::response<http::empty_body>&);
     template <typename Buffers> asio::awaitable<error_code> write(Buffers);
@@ -122,7 +124,8 @@
     const bool& m_serverClosing;
     std::size_t m_headBytes; // in memory, with the copies that are made of it
     bool m_keepAlive;
-    bool m_responseStarted = false;
+    std::uint64_t m_bodyLeft = 0; // bytes of a response of known length
+    bool m_responseComplete = false;
     bool m_broken = false;
 };
 
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -379,7 +379,7 @@
         && connection.buffer.size() == connection.buffer.max_size()) {
         state.reportLimit("unparsed_bytes");
     }
-    co_return exchange.keepAlive();
+    co_return exchange.isReusable();
 }
 
 // Refuses a request that cannot be held, before its handler runs.
