End streams whose server is gone once their deadline has passed

Callers of streams on a backend server that goes dark, open but without a byte, waited beyond timeoutMs for as long as they were willing to: the timer of startDeadline() did nothing once a part had reached the caller, and AnswerRelay then waits for the longest pause.

Change: from the deadline on, a started response that pauses for longer than its class's target (100 ms to 1 s) has its server checked, as after a broken connection, and ends with deadline_passed if no connection is taken, by peers neither. If the server goes on, the stream may pause on, and is checked each second; so a sound server that makes room for other requests keeps its streams. A caller that reads slowly is no pause.

The streams are cut, not resumed: finding dark servers sooner is open.

--- a/src/entry/RequestInterruption.cpp
+++ b/src/entry/RequestInterruption.cpp
@@ -1,8 +1,20 @@
 // What ends a request or an attempt from outside: stops, the deadline, shutdowns and revoked grants.
+#include <algorithm>
+
 #include "entry/RequestRunner.h"
 
 namespace lagoonspoke {
 
+namespace {
+
+// The pause of a started response after its deadline that raises a doubt about its server.
+constexpr Duration shortestLatePause = std::chrono::milliseconds(100);
+constexpr Duration longestLatePause = std::chrono::seconds(1);
+// Between two checks of a server that is reached but sends nothing.
+constexpr Duration lateCheckInterval = std::chrono::seconds(1);
+
+} // namespace
+
 void RequestRunner::interrupt(RequestEvent event)
 {
     m_interrupt = std::move(event);
@@ -103,15 +115,54 @@
 
 void RequestRunner::startDeadline()
 {
-    m_deadline.expires_after(m_request.deadline - (readMonotonicClock() - m_arrival));
+    awaitDeadline(m_request.deadline - (readMonotonicClock() - m_arrival));
+}
+
+void RequestRunner::awaitDeadline(Duration left)
+{
+    m_deadline.expires_after(left);
     m_deadline.async_wait([self = m_self](error_code ec) {
-        // A response that has started is bounded by the time between its tokens instead.
-        if (!ec && *self && !(*self)->m_machine.callerReached()) {
-            (*self)->stop(CallerError::DeadlinePassed);
+        if (!ec && *self) {
+            (*self)->passDeadline();
         }
     });
 }
 
+void RequestRunner::passDeadline()
+{
+    if (m_concluding || !m_machine.callerReached()) {
+        stop(CallerError::DeadlinePassed);
+        return;
+    }
+    // A response that has started is bounded by the time between its tokens instead, unless its server is gone.
+    auto pause = readMonotonicClock() - m_lastToken;
+    auto bound = std::clamp(m_request.classSpec->tokenGapTarget, shortestLatePause, longestLatePause);
+    if (m_wait != Wait::Backend || pause < bound) {
+        awaitDeadline(m_wait == Wait::Backend ? bound - pause : bound);
+        return;
+    }
+    asio::co_spawn(m_exchange.socket().get_executor(), endIfGone(m_self, *m_grant), asio::detached);
+}
+
+asio::awaitable<void> RequestRunner::endIfGone(std::shared_ptr<RequestRunner*> self, Grant grant)
+{
+    auto* runner = *self;
+    if (!runner) {
+        co_return;
+    }
+    auto reach = co_await runner->m_services.connector.check(grant.address, runner->deathCheckBound());
+    runner = *self;
+    if (!runner || runner->m_concluding) {
+        co_return;
+    }
+    bool isSameAttempt = runner->m_grant && runner->m_grant->grant == grant.grant;
+    if (reach == Reach::Nobody && isSameAttempt && runner->m_wait == Wait::Backend) {
+        runner->stop(CallerError::DeadlinePassed);
+        co_return;
+    }
+    runner->awaitDeadline(lateCheckInterval);
+}
+
 void RequestRunner::watchCaller()
 {
     m_watch.emplace(m_exchange.socket(), [self = m_self] {
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -106,6 +106,10 @@
     RequestEvent chooseEvent(RequestEvent);
     void interrupt(RequestEvent);
     void startDeadline();
+    void awaitDeadline(Duration left);
+    void passDeadline();
+    // Ends a started response whose server takes no new connection; otherwise it is checked again later.
+    static asio::awaitable<void> endIfGone(std::shared_ptr<RequestRunner*> self, Grant);
     void watchCaller();
     bool isExpectedAnswer(const BackendAnswer&) const;
     // Reports a request limit to the dispatcher at once.
